Run the thin path: look-up, entry host, target and platform as processes

Cause: nothing ran yet. Change: four packages, the core's events and effects, its request path as filters, the sardinewheeld binary, minimal stand-ins for the platform and a target, and one test that takes a request that may not be repeated from its look-up to the target.

Ruled out: geventhttpclient's own client for targets. It sends a request again when a pooled connection breaks, which may execute it twice; only its parser is used, the sockets are driven by http_exchange.

The test first failed with no-target, since targets were taken over only at the next tick; they now are when a change comes into force.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# `make demo` and `make test` each set up what they need on a fresh machine.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+HOUSE ?= vallejo
+PACKAGES := core entry cli testing
+
+.PHONY: setup test lint format demo clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: setup lint
+	$(BIN)/python -m pytest
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line and its query and command language."""
--- /dev/null
+++ b/packages/core/sardinewheel_core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of sardinewheel, without I/O."""
--- /dev/null
+++ b/packages/core/sardinewheel_core/attempt.py
@@ -0,0 +1,41 @@
+"""Attempts to have a request executed, and how they end."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from sardinewheel_core.request import Reason
+
+
+class Ending(StrEnum):
+    """How an attempt ended.
+
+    ``NOT_SENT``: no byte of the request left this host.
+    ``REFUSED``: the target or peer says that it did not run the request.
+    ``ANSWERED``: a whole response arrived.
+    ``LOST``: bytes left, and no whole response came back.
+    """
+
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    ANSWERED = "answered"
+    LOST = "lost"
+
+
+class AttemptResult(NamedTuple):
+    """The end of one attempt.
+
+    Attributes:
+        ending: How it ended.
+        status: HTTP status of the response, when there is one.
+        reason: Why it was refused or lost.
+        retry_after_s: When the other side asked to come back, in seconds.
+        draining: Whether the target announced that it is leaving.
+        duration_s: Seconds from dispatch to the end.
+    """
+
+    ending: Ending
+    status: int = 0
+    reason: Reason = Reason.NONE
+    retry_after_s: float = 0.0
+    draining: bool = False
+    duration_s: float = 0.0
--- /dev/null
+++ b/packages/core/sardinewheel_core/change.py
@@ -0,0 +1,378 @@
+"""Changes to the steering intent.
+
+A :class:`Change` is a list of operations that apply together or not at all.
+Applying is a pure function, so every entry host that applies the same chain
+of changes holds the same intent.
+"""
+
+from types import MappingProxyType
+from typing import NamedTuple
+
+from sardinewheel_core.errors import ChangeRejectedError, Finding
+from sardinewheel_core.intent import (
+    Block,
+    Drain,
+    Intent,
+    Region,
+    Seat,
+    Service,
+    Shift,
+    Subject,
+)
+
+
+class DefineRegion(NamedTuple):
+    """Creates or replaces a region."""
+
+    region: Region
+
+
+class DefineSeat(NamedTuple):
+    """Creates or replaces a seat."""
+
+    seat: Seat
+
+
+class RemoveSeat(NamedTuple):
+    """Removes a seat."""
+
+    name: str
+
+
+class DefineService(NamedTuple):
+    """Creates or replaces a service."""
+
+    service: Service
+
+
+class RemoveService(NamedTuple):
+    """Removes a service and its shifts."""
+
+    name: str
+
+
+class DefineBlock(NamedTuple):
+    """Assigns a caller block to a region."""
+
+    block: Block
+
+
+class SetCap(NamedTuple):
+    """Sets the cap of a region, in weight units in flight."""
+
+    region: str
+    cap: int
+
+
+class StartShift(NamedTuple):
+    """Starts a shift."""
+
+    shift: Shift
+
+
+class AbortShift(NamedTuple):
+    """Makes a shift return to where it started, at its own pace."""
+
+    name: str
+
+
+class EndShift(NamedTuple):
+    """Forgets a shift; its traffic belongs to the source region again."""
+
+    name: str
+
+
+class StartDrain(NamedTuple):
+    """Orders a place to be emptied."""
+
+    drain: Drain
+
+
+class EndDrain(NamedTuple):
+    """Lets a place take work again."""
+
+    subject: Subject
+    name: str
+
+
+Operation = (
+    DefineRegion
+    | DefineSeat
+    | RemoveSeat
+    | DefineService
+    | RemoveService
+    | DefineBlock
+    | SetCap
+    | StartShift
+    | AbortShift
+    | EndShift
+    | StartDrain
+    | EndDrain
+)
+
+OPERATION_TYPES: tuple[type, ...] = (
+    DefineRegion,
+    DefineSeat,
+    RemoveSeat,
+    DefineService,
+    RemoveService,
+    DefineBlock,
+    SetCap,
+    StartShift,
+    AbortShift,
+    EndShift,
+    StartDrain,
+    EndDrain,
+)
+
+
+class Change(NamedTuple):
+    """One accepted step of the configuration.
+
+    Attributes:
+        version: Version that the change creates.
+        change_id: Unique id by which a lost answer is settled.
+        author: Operator who made the change.
+        operations: What changes, applied in order.
+    """
+
+    version: int
+    change_id: str
+    author: str
+    operations: tuple[Operation, ...]
+
+
+def apply_change(intent: Intent, change: Change) -> Intent:
+    """Returns the intent that a change makes of another.
+
+    Args:
+        intent: Intent at the version right before the change.
+        change: Change to apply.
+
+    Raises:
+        ChangeRejectedError: An operation names something that does not exist
+            or would make the intent inconsistent, with every finding; or the
+            versions do not follow each other.
+
+    Examples:
+        >>> from sardinewheel_core.intent import Intent, Region
+        >>> region = Region("austro", 40, ("cuenca-centro",))
+        >>> change = Change(1, "c-1", "ana", (DefineRegion(region),))
+        >>> apply_change(Intent.empty(), change).regions["austro"].cap
+        40
+    """
+    if change.version != intent.version + 1:
+        finding = Finding(
+            "version", str(change.version), str(intent.version + 1)
+        )
+        raise ChangeRejectedError((finding,))
+    findings: list[Finding] = []
+    for index, operation in enumerate(change.operations):
+        found = _findings(intent, operation, f"operations[{index}]")
+        findings.extend(found)
+        if not found:
+            intent = _apply(intent, operation)
+    if findings:
+        raise ChangeRejectedError(tuple(findings))
+    return intent._replace(version=change.version)
+
+
+def _with(mapping, key, value):
+    return MappingProxyType({**mapping, key: value})
+
+
+def _without(mapping, key):
+    return MappingProxyType({k: v for k, v in mapping.items() if k != key})
+
+
+def _apply(intent: Intent, operation: Operation) -> Intent:
+    match operation:
+        case DefineRegion(region):
+            return intent._replace(
+                regions=_with(intent.regions, region.name, region)
+            )
+        case DefineSeat(seat):
+            return intent._replace(seats=_with(intent.seats, seat.name, seat))
+        case RemoveSeat(name):
+            return intent._replace(seats=_without(intent.seats, name))
+        case DefineService(service):
+            return intent._replace(
+                services=_with(intent.services, service.name, service)
+            )
+        case RemoveService(name):
+            shifts = {
+                k: v for k, v in intent.shifts.items() if v.service != name
+            }
+            return intent._replace(
+                services=_without(intent.services, name),
+                shifts=MappingProxyType(shifts),
+            )
+        case DefineBlock(block):
+            return intent._replace(
+                blocks=_with(intent.blocks, block.prefix, block)
+            )
+        case SetCap(region, cap):
+            changed = intent.regions[region]._replace(cap=cap)
+            return intent._replace(
+                regions=_with(intent.regions, region, changed)
+            )
+        case StartShift(shift):
+            return intent._replace(
+                shifts=_with(intent.shifts, shift.name, shift)
+            )
+        case AbortShift(name):
+            aborted = intent.shifts[name]._replace(aborted=True)
+            return intent._replace(shifts=_with(intent.shifts, name, aborted))
+        case EndShift(name):
+            return intent._replace(shifts=_without(intent.shifts, name))
+        case StartDrain(drain):
+            key = (drain.subject, drain.name)
+            return intent._replace(drains=_with(intent.drains, key, drain))
+        case EndDrain(subject, name):
+            return intent._replace(
+                drains=_without(intent.drains, (subject, name))
+            )
+
+
+def _findings(
+    intent: Intent, operation: Operation, place: str
+) -> list[Finding]:
+    """Returns what is wrong with one operation on an intent."""
+
+    def known(value: str, names, what: str) -> list[Finding]:
+        if value in names:
+            return []
+        return [Finding(place, repr(value), f"{what}, one of {sorted(names)}")]
+
+    domains = {d for r in intent.regions.values() for d in r.domains}
+    match operation:
+        case DefineRegion(region):
+            return _cap_findings(region.cap, place) + _domain_findings(
+                intent, region, place
+            )
+        case DefineSeat(seat):
+            return known(seat.domain, domains, "a failure domain")
+        case RemoveSeat(name):
+            return known(name, intent.seats, "a seat")
+        case DefineService(service):
+            return _service_findings(service, domains, place)
+        case RemoveService(name):
+            return known(name, intent.services, "a service")
+        case DefineBlock(block):
+            return known(block.region, intent.regions, "a region")
+        case SetCap(region, cap):
+            return known(region, intent.regions, "a region") + _cap_findings(
+                cap, place
+            )
+        case StartShift(shift):
+            found = known(shift.service, intent.services, "a service")
+            found += known(shift.source, intent.regions, "a region")
+            found += known(shift.destination, intent.regions, "a region")
+            return found + _shift_findings(intent, shift, place)
+        case AbortShift(name) | EndShift(name):
+            return known(name, intent.shifts, "a shift")
+        case StartDrain(drain):
+            return known(
+                drain.name,
+                _names(intent, drain.subject),
+                f"a {drain.subject}",
+            )
+        case EndDrain(subject, name):
+            drained = {n for s, n in intent.drains if s == subject}
+            return known(name, drained, f"a drained {subject}")
+    return [Finding(place, type(operation).__name__, "a known operation")]
+
+
+def _names(intent: Intent, subject: Subject) -> set[str]:
+    if subject is Subject.REGION:
+        return set(intent.regions)
+    if subject is Subject.DOMAIN:
+        return {d for r in intent.regions.values() for d in r.domains}
+    if subject is Subject.ENTRY_HOST:
+        return set(intent.seats)
+    return {t for s in intent.services.values() for t in s.targets}
+
+
+def _cap_findings(cap: int, place: str) -> list[Finding]:
+    if cap >= 0:
+        return []
+    return [Finding(f"{place}.cap", str(cap), "0 or more weight units")]
+
+
+def _domain_findings(
+    intent: Intent, region: Region, place: str
+) -> list[Finding]:
+    found = []
+    for domain in region.domains:
+        holder = intent.region_of(domain)
+        if holder not in (None, region.name):
+            found.append(
+                Finding(
+                    f"{place}.domains",
+                    repr(domain),
+                    f"a failure domain outside region {holder!r}",
+                )
+            )
+    return found
+
+
+def _service_findings(
+    service: Service, domains: set[str], place: str
+) -> list[Finding]:
+    found = []
+    for target in service.targets.values():
+        where = f"{place}.targets.{target.name}"
+        if target.domain not in domains:
+            found.append(
+                Finding(
+                    f"{where}.domain",
+                    repr(target.domain),
+                    f"a failure domain, one of {sorted(domains)}",
+                )
+            )
+        if target.slots < 1:
+            found.append(
+                Finding(f"{where}.slots", str(target.slots), "1 or more")
+            )
+    for kind in service.kinds.values():
+        where = f"{place}.kinds.{kind.name}"
+        if not 0 <= kind.reserved < 1:
+            found.append(
+                Finding(f"{where}.reserved", str(kind.reserved), "0 to below 1")
+            )
+        if kind.weight < 1:
+            found.append(
+                Finding(f"{where}.weight", str(kind.weight), "1 or more")
+            )
+    return found
+
+
+def _shift_findings(intent: Intent, shift: Shift, place: str) -> list[Finding]:
+    found = []
+    if shift.name in intent.shifts:
+        found.append(
+            Finding(f"{place}.name", repr(shift.name), "a name not in use")
+        )
+    if shift.source == shift.destination:
+        found.append(
+            Finding(
+                f"{place}.destination",
+                repr(shift.destination),
+                "a region other than the source",
+            )
+        )
+    if not 0 < shift.share <= 1:
+        found.append(
+            Finding(f"{place}.share", str(shift.share), "above 0, at most 1")
+        )
+    if shift.cap < 1:
+        found.append(Finding(f"{place}.cap", str(shift.cap), "1 or more"))
+    if shift.interval_s <= 0 or shift.pace_s <= 0:
+        found.append(
+            Finding(
+                f"{place}.interval_s",
+                f"{shift.interval_s}, pace {shift.pace_s}",
+                "seconds above 0",
+            )
+        )
+    return found
--- /dev/null
+++ b/packages/core/sardinewheel_core/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters of the request path, one module each."""
--- /dev/null
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -0,0 +1,54 @@
+"""Chooses the region and, in it, the host that executes a request."""
+
+from typing import TYPE_CHECKING
+
+from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.filters.verdict import Continue, Delegate, Verdict
+from sardinewheel_core.messages import HostState
+from sardinewheel_core.request import Reason
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+MAX_HOPS = 2
+
+
+def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
+    """Hands a request on when another host has room and this one has not."""
+    if exchange.request.hops >= MAX_HOPS or _has_room(host, now, exchange):
+        return Continue()
+    peer = _best_peer(host, now, exchange)
+    if peer is None:
+        return Continue()
+    return Delegate(peer, Reason.OVERFLOW)
+
+
+def _has_room(host: "EntryHost", now: float, exchange: Exchange) -> bool:
+    request = exchange.request
+    return (
+        host.targets.free(request.service, now) > 0
+        and host.allowance.room(now) >= request.weight
+    )
+
+
+def _best_peer(
+    host: "EntryHost", now: float, exchange: Exchange
+) -> HostState | None:
+    intent = host.configuration.intent
+    service = exchange.request.service
+    peers = [
+        s
+        for s in host.membership.ready(now)
+        if s.name != host.identity.name
+        and s.name not in exchange.refused_by
+        and dict(s.rooms).get(service, 0) > 0
+    ]
+
+    def rank(state: HostState) -> tuple:
+        return (
+            state.domain != host.identity.domain,
+            intent.region_of(state.domain) != host.region,
+            -dict(state.rooms)[service] * host.rng.random(),
+        )
+
+    return min(peers, key=rank, default=None)
--- /dev/null
+++ b/packages/core/sardinewheel_core/host.py
@@ -0,0 +1,195 @@
+"""One entry host: the decisions, without I/O.
+
+A driver passes events with the time on a monotonic clock to
+:meth:`EntryHost.handle` and carries out the effects it gets back. The same
+code runs under the real process, the tests and any bench.
+"""
+
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sardinewheel_core import control, pipeline
+from sardinewheel_core.allowance import Allowance
+from sardinewheel_core.configuration import Configuration
+from sardinewheel_core.decisions import Decision, DecisionLog
+from sardinewheel_core.effects import (
+    AttemptEnded,
+    CancelArrived,
+    ChangeProposed,
+    Effect,
+    Event,
+    HostListRead,
+    LoadRead,
+    MessageArrived,
+    Report,
+    RequestArrived,
+    RowsRead,
+    StopOrdered,
+    Ticked,
+    TransactionEnded,
+)
+from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.lookup import LookupAnswer, look_up
+from sardinewheel_core.membership import Membership
+from sardinewheel_core.messages import HostState, Phase
+from sardinewheel_core.outcomes import OutcomeBook
+from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.targets import TargetPool
+
+
+class Identity(NamedTuple):
+    """Who this host is, from its settings.
+
+    Attributes:
+        name: Seat that it occupies.
+        incarnation: Start of the process, in nanoseconds.
+        domain: Failure domain in which it stands.
+        http_address: ``host:port`` for callers.
+        peer_address: ``host:port`` for other entry hosts.
+        seeds: Peer addresses of some other entry hosts.
+    """
+
+    name: str
+    incarnation: int
+    domain: str
+    http_address: str
+    peer_address: str
+    seeds: tuple[str, ...] = ()
+
+
+class EntryHost:
+    """The state of one entry host and the decisions it takes.
+
+    Attributes:
+        identity: Who this host is.
+        membership: Entry hosts that it knows of.
+        configuration: Intent in force and the changes behind it.
+        allowance: Its part of its region's cap.
+        book: Outcomes of requests that may not be repeated.
+        targets: Targets that it dispatches to.
+        lines: Waiting requests, by service.
+        exchanges: Requests under way, by attempt id.
+        decisions: Latest decisions, to explain them.
+        effects: Effects of the event being handled.
+    """
+
+    def __init__(self, *, identity: Identity, rng: random.Random, now: float):
+        self.identity = identity
+        self.rng = rng
+        self.membership = Membership(
+            own=_first_state(identity), seeds=identity.seeds, rng=rng
+        )
+        self.configuration = Configuration()
+        self.allowance = Allowance()
+        self.book = OutcomeBook(started_at=now)
+        self.targets = TargetPool(rng=rng)
+        self.lines: dict[str, WaitingLine] = {}
+        self.exchanges: dict[int, Exchange] = {}
+        self.in_progress: dict[str, Exchange] = {}
+        self.decisions = DecisionLog()
+        self.effects: list[Effect] = []
+        self.control = control.ControlState(now=now)
+        self.last_id = 0
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        """Takes in an event and returns what the driver is to do.
+
+        Args:
+            now: Time on a monotonic clock, in seconds; never goes back.
+            event: What happened.
+        """
+        self.effects = []
+        match event:
+            case RequestArrived():
+                pipeline.on_request(self, now, event)
+            case AttemptEnded():
+                pipeline.on_attempt_ended(self, now, event)
+            case CancelArrived():
+                pipeline.on_cancel(self, now, event)
+            case Ticked():
+                control.on_tick(self, now)
+                pipeline.on_tick(self, now)
+            case MessageArrived():
+                control.on_message(self, now, event)
+            case RowsRead():
+                control.on_rows(self, now, event)
+            case TransactionEnded():
+                control.on_transaction(self, now, event)
+            case ChangeProposed():
+                control.on_proposal(self, now, event)
+            case HostListRead():
+                control.on_host_list(self, now, event)
+            case LoadRead():
+                control.on_load(self, now, event)
+            case StopOrdered():
+                control.on_stop(self, now)
+        return self.effects
+
+    def look_up(self, now: float, *, service: str, block: str) -> LookupAnswer:
+        """Returns the entry hosts that a caller should use.
+
+        Args:
+            now: Time on the monotonic clock, in seconds.
+            service: Service the caller wants.
+            block: Caller block.
+        """
+        intent = self.configuration.intent
+        known = intent.blocks.get(block)
+        region = known.region if known else self.region
+        return look_up(
+            intent,
+            self.membership.ready(now),
+            service=service,
+            region=region,
+            rng=self.rng,
+        )
+
+    @property
+    def region(self) -> str | None:
+        """Region in which this host stands, as far as it is configured."""
+        return self.configuration.intent.region_of(self.identity.domain)
+
+    @property
+    def phase(self) -> Phase:
+        """Phase of this host."""
+        return self.membership.own.phase
+
+    def line(self, service: str) -> WaitingLine:
+        """Returns the waiting line of a service."""
+        return self.lines.setdefault(service, WaitingLine())
+
+    def waiting(self) -> Iterator[Exchange]:
+        """Yields every waiting exchange, most urgent first per service."""
+        for line in self.lines.values():
+            yield from line.in_order()
+
+    def next_id(self) -> int:
+        """Returns a number that was not used before."""
+        self.last_id += 1
+        return self.last_id
+
+    def emit(self, effect: Effect) -> None:
+        """Adds an effect for the driver."""
+        self.effects.append(effect)
+
+    def report(self, now: float, event: str, **fields: str | int | float):
+        """Logs a decision and keeps it for explanations."""
+        pairs = tuple(fields.items())
+        version = self.configuration.version
+        self.decisions.add(Decision(now, event, version, pairs))
+        self.emit(Report(event, pairs))
+
+
+def _first_state(identity: Identity) -> HostState:
+    return HostState(
+        name=identity.name,
+        incarnation=identity.incarnation,
+        beat=0,
+        domain=identity.domain,
+        http_address=identity.http_address,
+        peer_address=identity.peer_address,
+        phase=Phase.JOINING,
+        version=0,
+        epoch=0,
+    )
--- /dev/null
+++ b/packages/core/sardinewheel_core/messages.py
@@ -0,0 +1,161 @@
+"""Messages between entry hosts.
+
+Every message is a :class:`typing.NamedTuple` of plain values, so that any
+codec can carry it. New fields go at the end and have a default: an older
+receiver drops what it does not know, a newer one fills in what is missing.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from sardinewheel_core.change import Change
+
+PROTOCOL_VERSION = 1
+
+
+class Phase(StrEnum):
+    """Where an entry host is in its life."""
+
+    JOINING = "joining"
+    READY = "ready"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class HostState(NamedTuple):
+    """What an entry host says about itself; others pass it on unchanged.
+
+    Attributes:
+        name: Seat the host occupies.
+        incarnation: Start of the process, in nanoseconds; higher is newer.
+        beat: Heartbeat counter of this incarnation.
+        domain: Failure domain of the host.
+        http_address: ``host:port`` for callers and forwarded requests.
+        peer_address: ``host:port`` for messages.
+        phase: Phase of the host.
+        version: Configuration version in force there.
+        epoch: Ticket epoch of the host.
+        rooms: Pairs of service name and free slots.
+        successor: Host that answers for this incarnation once it is gone.
+    """
+
+    name: str
+    incarnation: int
+    beat: int
+    domain: str
+    http_address: str
+    peer_address: str
+    phase: Phase
+    version: int
+    epoch: int
+    rooms: tuple[tuple[str, int], ...] = ()
+    successor: str = ""
+
+
+class Heartbeat(NamedTuple):
+    """Host states that the sender heard most recently, its own first."""
+
+    states: tuple[HostState, ...]
+
+
+class ChangesWanted(NamedTuple):
+    """Asks for the changes that follow a version."""
+
+    after: int
+
+
+class ChangesSent(NamedTuple):
+    """A run of consecutive changes."""
+
+    changes: tuple[Change, ...]
+
+
+class LoanWanted(NamedTuple):
+    """Asks a host of the same region to lend units of the region's cap."""
+
+    region: str
+    nonce: int
+    units: int
+
+
+class LoanGranted(NamedTuple):
+    """Lends units for ``duration_s`` seconds, counted by the lender."""
+
+    region: str
+    nonce: int
+    units: int
+    duration_s: float
+
+
+class LoanReturned(NamedTuple):
+    """Gives a loan back before it ends; the borrower no longer uses it."""
+
+    region: str
+    nonce: int
+
+
+class OutcomeRecord(NamedTuple):
+    """What became of one request id.
+
+    Attributes:
+        request_id: The id.
+        outcome: An :class:`~sardinewheel_core.request.Outcome` value.
+        status: HTTP status of the target's response, when done.
+        reason: A :class:`~sardinewheel_core.request.Reason` value.
+    """
+
+    request_id: str
+    outcome: str
+    status: int = 0
+    reason: str = "none"
+
+
+class OutcomesHandedOn(NamedTuple):
+    """Makes the receiver answer for a stopping incarnation's request ids.
+
+    Attributes:
+        name: Seat of the stopping host.
+        incarnation: The stopping incarnation.
+        epoch: Its last ticket epoch.
+        part: Index of this part, from 0.
+        parts: Number of parts; the receiver takes over with the last one.
+        records: Outcomes in this part.
+    """
+
+    name: str
+    incarnation: int
+    epoch: int
+    part: int
+    parts: int
+    records: tuple[OutcomeRecord, ...]
+
+
+class OutcomesTaken(NamedTuple):
+    """Confirms that one part was received."""
+
+    name: str
+    incarnation: int
+    part: int
+
+
+Message = (
+    Heartbeat
+    | ChangesWanted
+    | ChangesSent
+    | LoanWanted
+    | LoanGranted
+    | LoanReturned
+    | OutcomesHandedOn
+    | OutcomesTaken
+)
+
+MESSAGE_TYPES: tuple[type, ...] = (
+    Heartbeat,
+    ChangesWanted,
+    ChangesSent,
+    LoanWanted,
+    LoanGranted,
+    LoanReturned,
+    OutcomesHandedOn,
+    OutcomesTaken,
+)
--- /dev/null
+++ b/packages/core/sardinewheel_core/ownership.py
@@ -0,0 +1,67 @@
+"""Which entry host dispatches to which target.
+
+Only one entry host at a time dispatches to a target, so its in-flight count
+is exact. Hosts of the target's failure domain come first; when none is left,
+hosts of its region adopt the target.
+"""
+
+import hashlib
+
+from sardinewheel_core.intent import Intent, Target
+from sardinewheel_core.messages import HostState
+
+
+def owned_targets(
+    intent: Intent, own: str, ready: list[HostState]
+) -> list[tuple[str, Target]]:
+    """Returns the targets, with their services, that a host dispatches to.
+
+    Args:
+        intent: Intent in force.
+        own: Name of the host.
+        ready: Live hosts that take requests.
+    """
+    own_domain = next((s.domain for s in ready if s.name == own), None)
+    region = intent.region_of(own_domain) if own_domain else None
+    if region is None:
+        return []
+    domains = intent.regions[region].domains
+    in_region = [s for s in ready if s.domain in domains]
+    owned = []
+    for domain in domains:
+        hosts = [s.name for s in in_region if s.domain == domain]
+        hosts = hosts or [s.name for s in in_region]
+        if own not in hosts:
+            continue
+        by_service: dict[str, list[Target]] = {}
+        for service, target in intent.targets_of_domain(domain):
+            by_service.setdefault(service, []).append(target)
+        for service, targets in by_service.items():
+            owners = assign([t.name for t in targets], hosts)
+            owned += [(service, t) for t in targets if owners[t.name] == own]
+    return owned
+
+
+def assign(targets: list[str], hosts: list[str]) -> dict[str, str]:
+    """Returns the host of each target: rendezvous hashing, evened out.
+
+    No host gets more than its rounded-up part of the targets.
+
+    Examples:
+        >>> sorted(assign(["t1", "t2"], ["a", "b"]).values())
+        ['a', 'b']
+    """
+    most = -(-len(targets) // len(hosts))
+    counts = dict.fromkeys(hosts, 0)
+    owners = {}
+    for target in sorted(targets):
+        open_hosts = [h for h in hosts if counts[h] < most]
+        owner = max(open_hosts, key=lambda h: _weight(h, target))
+        counts[owner] += 1
+        owners[target] = owner
+    return owners
+
+
+def _weight(host: str, target: str) -> bytes:
+    text = f"{host}/{target}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host: I/O around the decisions of the core."""
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -0,0 +1,156 @@
+"""Runs the core: feeds it events and carries out its effects."""
+
+import random
+import time
+
+import gevent
+import structlog
+from gevent.event import AsyncResult
+from sardinewheel_core.attempt import AttemptResult, Ending
+from sardinewheel_core.effects import (
+    AttemptEnded,
+    CancelAttempt,
+    ChangeProposed,
+    Dispatch,
+    Effect,
+    Event,
+    Exit,
+    Forward,
+    MessageArrived,
+    ProposalEnded,
+    ReadRows,
+    Reply,
+    Report,
+    RequestArrived,
+    RowsRead,
+    Send,
+    Ticked,
+    Transact,
+)
+from sardinewheel_core.host import EntryHost, Identity
+from sardinewheel_core.messages import Message
+from sardinewheel_core.request import Answer, Request
+
+from sardinewheel_entry.attempts import AttemptRunner, Payload
+from sardinewheel_entry.http_exchange import HttpResponse
+from sardinewheel_entry.peers import PeerLinks
+from sardinewheel_entry.platform_client import PlatformClient
+
+TICK_S = 0.1
+RESPONSES_KEPT = 512
+
+log = structlog.get_logger()
+
+
+class Driver:
+    """One entry host's core with everything that it needs to act.
+
+    Attributes:
+        host: The core.
+        attempts: Sends requests to targets and peers.
+        links: Connections to other entry hosts.
+        platform: Client of the platform's services.
+        stopped: Set when the host has finished leaving.
+    """
+
+    def __init__(self, *, identity: Identity, platform: PlatformClient):
+        self.rng = random.Random()
+        self.host = EntryHost(
+            identity=identity, rng=self.rng, now=time.monotonic()
+        )
+        self.attempts = AttemptRunner()
+        self.links = PeerLinks(identity.name, self.on_message)
+        self.platform = platform
+        self.stopped = AsyncResult()
+        self.waiting: dict[int, AsyncResult] = {}
+        self.proposals: dict[int, AsyncResult] = {}
+        self.payloads: dict[str, Payload] = {}
+        self.responses: dict[int, HttpResponse] = {}
+        self.last_id = 0
+
+    def run(self) -> None:
+        """Ticks until the host has finished leaving."""
+        while not self.stopped.ready():
+            self.feed(Ticked())
+            gevent.sleep(TICK_S)
+
+    def feed(self, event: Event) -> None:
+        """Hands an event to the core and carries out the effects."""
+        for effect in self.host.handle(time.monotonic(), event):
+            self.carry_out(effect)
+
+    def on_message(self, sender: str, message: Message) -> None:
+        """Takes in a peer's message."""
+        self.feed(MessageArrived(sender, message))
+
+    def serve(
+        self, request: Request, payload: Payload
+    ) -> tuple[Answer, HttpResponse | None]:
+        """Has a request executed and returns its final answer."""
+        self.last_id += 1
+        result = self.waiting[self.last_id] = AsyncResult()
+        self.payloads.setdefault(request.id, payload)
+        try:
+            self.feed(RequestArrived(self.last_id, request))
+            answer: Answer = result.get()
+        finally:
+            self.payloads.pop(request.id, None)
+        return answer, self.responses.get(answer.attempt_id)
+
+    def propose(self, event: ChangeProposed) -> ProposalEnded:
+        """Proposes an operator's change and returns how that ended."""
+        self.last_id += 1
+        result = self.proposals[self.last_id] = AsyncResult()
+        self.feed(event._replace(proposal_id=self.last_id))
+        return result.get()
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carries out one effect; nothing here waits."""
+        match effect:
+            case Dispatch():
+                payload = self.payloads[effect.request.id]
+                gevent.spawn(self._run_attempt, effect, payload)
+            case Forward():
+                payload = self.payloads[effect.request.id]
+                gevent.spawn(self._run_attempt, effect, payload)
+            case CancelAttempt(attempt_id):
+                self.attempts.cancel(attempt_id)
+            case Reply(arrival_id, answer):
+                self.waiting.pop(arrival_id).set(answer)
+            case Send(_, address, message):
+                self.links.send(address, message)
+            case ReadRows():
+                gevent.spawn(self._read_rows, effect)
+            case Transact():
+                gevent.spawn(self._transact, effect)
+            case ProposalEnded():
+                self.proposals.pop(effect.proposal_id).set(effect)
+            case Report(event, fields):
+                log.info(event, **dict(fields))
+            case Exit():
+                if not self.stopped.ready():
+                    self.stopped.set(True)
+
+    def _run_attempt(self, effect: Dispatch | Forward, payload: Payload):
+        started_at = time.monotonic()
+        result, response = self.attempts.run(effect, payload)
+        duration_s = time.monotonic() - started_at
+        if response is not None and result.ending is Ending.ANSWERED:
+            self._keep(effect.attempt_id, response)
+        result: AttemptResult = result._replace(duration_s=duration_s)
+        self.feed(AttemptEnded(effect.attempt_id, result))
+
+    def _keep(self, attempt_id: int, response: HttpResponse) -> None:
+        self.responses[attempt_id] = response
+        while len(self.responses) > RESPONSES_KEPT:
+            self.responses.pop(next(iter(self.responses)))
+
+    def _read_rows(self, effect: ReadRows) -> None:
+        rows = self.platform.read(effect.keys)
+        if rows is None:
+            self.feed(RowsRead(effect.call_id, (), failed=True))
+        else:
+            self.feed(RowsRead(effect.call_id, rows))
+
+    def _transact(self, effect: Transact) -> None:
+        self.feed(self.platform.transact(effect))
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/main.py
@@ -0,0 +1,96 @@
+"""``sardinewheeld``: the entry host."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from dataclasses import dataclass  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import cappa  # noqa: E402
+import gevent  # noqa: E402
+import structlog  # noqa: E402
+from sardinewheel_core.effects import StopOrdered  # noqa: E402
+from sardinewheel_core.errors import SettingsError  # noqa: E402
+from sardinewheel_core.host import Identity  # noqa: E402
+
+from sardinewheel_entry import api, logs, wsgi  # noqa: E402
+from sardinewheel_entry.driver import Driver  # noqa: E402
+from sardinewheel_entry.platform_client import PlatformClient  # noqa: E402
+from sardinewheel_entry.settings import Settings  # noqa: E402
+
+EXIT_SETTINGS = 2
+
+
+def run(arguments: "Sardinewheeld") -> int:
+    """Runs the command line.
+
+    Returns:
+        The exit status of the process.
+    """
+    try:
+        settings = Settings.from_file(arguments.settings)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments.check:
+        print(f"{arguments.settings}: ok")
+        return 0
+    serve(settings)
+    return 0
+
+
+@cappa.command(name="sardinewheeld", invoke=run)
+@dataclass
+class Sardinewheeld:
+    """The entry host of sardinewheel.
+
+    Attributes:
+        settings: JSON file with the settings.
+        check: Check the settings and exit.
+    """
+
+    settings: Annotated[Path, cappa.Arg(help="JSON file with the settings")]
+    check: Annotated[
+        bool, cappa.Arg(long=True, help="check the settings and exit")
+    ] = False
+
+
+def serve(settings: Settings) -> None:
+    """Runs an entry host until it has finished leaving."""
+    logs.configure(level=settings.log_level, host=settings.name)
+    log = structlog.get_logger()
+    identity = Identity(
+        name=settings.name,
+        incarnation=time.time_ns(),
+        domain=settings.domain,
+        http_address=settings.http_address,
+        peer_address=settings.peer_address,
+        seeds=settings.seeds,
+    )
+    platform = PlatformClient(settings.platform_address)
+    driver = Driver(identity=identity, platform=platform)
+    http = wsgi.server(settings.http_address, api.create_app(driver))
+    http.start()
+    peers = driver.links.serve(settings.peer_address)
+    gevent.spawn(peers.serve_forever)
+    gevent.signal_handler(signal.SIGTERM, driver.feed, StopOrdered())
+    gevent.signal_handler(signal.SIGINT, driver.feed, StopOrdered())
+    log.info("started", incarnation=identity.incarnation)
+    driver.run()
+    http.stop()
+    log.info("stopped")
+
+
+def main() -> None:
+    """Entry point of the ``sardinewheeld`` command."""
+    sys.exit(cappa.invoke(Sardinewheeld))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testing/sardinewheel_testing/processes.py
@@ -0,0 +1,130 @@
+"""Starts the real programs and the stand-ins as processes, for tests."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import NamedTuple
+
+BIN = Path(sys.executable).parent
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.02
+
+
+class HttpReply(NamedTuple):
+    """A response as tests see it, headers in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def media(self):
+        """The body, as JSON."""
+        return json.loads(self.body)
+
+
+def free_address() -> str:
+    """Returns a loopback address with a free port."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+def http(
+    method: str,
+    address: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 15.0,
+) -> HttpReply:
+    """Sends one HTTP request and returns the response, whatever its status."""
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data=body,
+        headers=headers or {},
+        method=method,
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return _reply(reply.status, reply)
+    except urllib.error.HTTPError as error:
+        with error:
+            return _reply(error.code, error)
+
+
+def _reply(status: int, reply) -> HttpReply:
+    headers = {k.lower(): v for k, v in reply.headers.items()}
+    return HttpReply(status, headers, reply.read())
+
+
+def wait_until(condition, *, timeout_s: float = START_TIMEOUT_S):
+    """Returns the first true value of a condition; connection errors wait.
+
+    Raises:
+        TimeoutError: The condition did not become true in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError):
+            value = condition()
+            if value:
+                return value
+        time.sleep(POLL_S)
+    raise TimeoutError(f"condition not met in {timeout_s} s: {condition}")
+
+
+class Process:
+    """A program that runs until it is told to stop."""
+
+    def __init__(self, arguments: list[str], *, log_file: Path):
+        self.log_file = log_file
+        with log_file.open("ab") as log:
+            self.popen = subprocess.Popen(
+                arguments, stdout=log, stderr=subprocess.STDOUT
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self.popen.send_signal(number)
+
+    def stop(self) -> int:
+        """Asks the process to end, waits, and returns its exit status."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.terminate()
+        try:
+            return self.popen.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+def stand_in(name: str, *arguments: str, log_file: Path) -> Process:
+    """Starts a stand-in of :mod:`sardinewheel_testing` by module name."""
+    module = f"sardinewheel_testing.{name}"
+    command = [sys.executable, "-m", module, *arguments]
+    return Process(command, log_file=log_file)
+
+
+def entry_host(settings: dict, *, folder: Path) -> Process:
+    """Starts an entry host with settings, written to a folder."""
+    path = folder / f"{settings['name']}.json"
+    path.write_text(json.dumps(settings), encoding="utf-8")
+    command = [str(BIN / "sardinewheeld"), str(path)]
+    return Process(command, log_file=folder / f"{settings['name']}.log")
