--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -1,62 +1,19 @@
-"""The control side of an entry host: configuration, membership, stopping."""
+"""The control side of an entry host: what happens on messages and ticks."""
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import allowance
-from sardinewheel_core.change import Change, apply_change
-from sardinewheel_core.configuration import (
-    HEAD_KEY,
-    change_key,
-    decode_change,
-    encode_change,
-)
+from sardinewheel_core import dispatching, rollout, stopping
 from sardinewheel_core.effects import (
-    ChangeProposed,
-    Exit,
     HostListRead,
     LoadRead,
     MessageArrived,
-    ProposalEnded,
-    ProposalState,
-    ReadRows,
-    RowsRead,
     Send,
-    Transact,
-    TransactionEnded,
-)
-from sardinewheel_core.errors import ChangeRejectedError
-from sardinewheel_core.intent import Subject
-from sardinewheel_core.messages import (
-    ChangesSent,
-    ChangesWanted,
-    Heartbeat,
-    Phase,
 )
-from sardinewheel_core.ownership import owned_targets
+from sardinewheel_core.messages import ChangesSent, ChangesWanted, Heartbeat
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
-POLL_INTERVAL_S = 1.0
-CALL_TIMEOUT_S = 3.0
-POLLERS_PER_DOMAIN = 2
-ROWS_PER_POLL = 20
-
-
-class ControlState:
-    """Calls under way and what is due when.
-
-    Attributes:
-        next_poll_at: When the table is read next.
-        poll_call: Read under way, or 0.
-        proposals: Proposals under way, by transaction call.
-    """
-
-    def __init__(self, *, now: float):
-        self.next_poll_at = now
-        self.poll_call = 0
-        self.proposals: dict[int, tuple[ChangeProposed, Change]] = {}
-
 
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
@@ -64,10 +21,9 @@
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
-    _poll(host, now)
-    _refresh_targets(host, now)
-    if host.phase is Phase.LEAVING and _is_idle(host):
-        host.emit(Exit())
+    rollout.poll(host, now)
+    dispatching.refresh_targets(host, now)
+    stopping.on_tick(host, now)
 
 
 def on_message(host: "EntryHost", now: float, event: MessageArrived) -> None:
@@ -75,88 +31,11 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
-            _ask_for_changes(host, states)
+            rollout.ask_for_changes(host, states)
         case ChangesWanted(after):
-            _send_changes(host, event.sender, after)
+            rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
-            _take_changes(host, now, changes, "peer")
-
-
-def on_rows(host: "EntryHost", now: float, event: RowsRead) -> None:
-    """Takes in rows of the platform's table."""
-    if event.call_id != host.control.poll_call:
-        return
-    host.control.poll_call = 0
-    if event.failed:
-        return
-    changes = tuple(
-        decode_change(value)
-        for key, row_version, value in event.rows
-        if row_version and key != HEAD_KEY
-    )
-    _take_changes(host, now, changes, "platform")
-    if host.phase is Phase.JOINING and host.configuration.version:
-        _become_ready(host, now)
-
-
-def on_proposal(host: "EntryHost", now: float, event: ChangeProposed) -> None:
-    """Checks an operator's change and offers it to the platform's table."""
-    intent = host.configuration.intent
-    change = Change(
-        intent.version + 1, event.change_id, event.author, event.operations
-    )
-    try:
-        apply_change(intent, change)
-    except ChangeRejectedError as error:
-        host.emit(
-            ProposalEnded(
-                event.proposal_id,
-                ProposalState.REJECTED,
-                findings=error.findings,
-            )
-        )
-        return
-    call_id = host.next_id()
-    host.control.proposals[call_id] = (event, change)
-    head = f'{{"version":{change.version}}}'
-    host.emit(
-        Transact(
-            call_id,
-            event.change_id,
-            checks=(
-                (HEAD_KEY, intent.version),
-                (change_key(change.version), 0),
-            ),
-            writes=(
-                (HEAD_KEY, head),
-                (change_key(change.version), encode_change(change)),
-            ),
-        )
-    )
-
-
-def on_transaction(
-    host: "EntryHost", now: float, event: TransactionEnded
-) -> None:
-    """Learns how a transaction ended."""
-    entry = host.control.proposals.pop(event.call_id, None)
-    if entry is None:
-        return
-    proposal, change = entry
-    if event.committed:
-        _take_changes(host, now, (change,), "operator")
-        ended = ProposalEnded(
-            proposal.proposal_id, ProposalState.ACCEPTED, change.version
-        )
-    elif event.failed:
-        ended = ProposalEnded(proposal.proposal_id, ProposalState.UNKNOWN)
-    else:
-        winner = _winner(event.rows, change.version)
-        ended = ProposalEnded(
-            proposal.proposal_id, ProposalState.CONFLICT, winner=winner
-        )
-        host.control.next_poll_at = now
-    host.emit(ended)
+            rollout.take_changes(host, now, changes, "peer")
 
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
@@ -170,14 +49,6 @@
         state.leaving = True
 
 
-def on_stop(host: "EntryHost", now: float) -> None:
-    """Starts to leave: out of the look-ups, then finish what is in flight."""
-    host.membership.own = host.membership.own._replace(phase=Phase.LEAVING)
-    for peer, heartbeat in host.membership.announce():
-        host.emit(Send(peer.host, peer.address, heartbeat))
-    host.report(now, "leaving", in_flight=len(host.exchanges))
-
-
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
     rooms = tuple((name, host.targets.free(name, now)) for name in services)
@@ -186,84 +57,3 @@
         epoch=host.book.epoch,
         rooms=rooms,
     )
-
-
-def _poll(host: "EntryHost", now: float) -> None:
-    if now < host.control.next_poll_at or not _is_poller(host, now):
-        return
-    host.control.next_poll_at = now + POLL_INTERVAL_S
-    host.control.poll_call = host.next_id()
-    first = host.configuration.version + 1
-    keys = [change_key(v) for v in range(first, first + ROWS_PER_POLL)]
-    host.emit(ReadRows(host.control.poll_call, (HEAD_KEY, *keys)))
-
-
-def _is_poller(host: "EntryHost", now: float) -> bool:
-    names = [
-        s.name
-        for s in host.membership.alive(now)
-        if s.domain == host.identity.domain
-    ]
-    return host.identity.name in names[:POLLERS_PER_DOMAIN]
-
-
-def _ask_for_changes(host: "EntryHost", states) -> None:
-    ahead = [s for s in states if s.version > host.configuration.version]
-    if ahead:
-        best = max(ahead, key=lambda s: s.version)
-        wanted = ChangesWanted(host.configuration.version)
-        host.emit(Send(best.name, best.peer_address, wanted))
-
-
-def _send_changes(host: "EntryHost", receiver: str, after: int) -> None:
-    changes = host.configuration.after(after)
-    state = host.membership.states.get(receiver)
-    if changes and state is not None:
-        host.emit(Send(receiver, state.peer_address, ChangesSent(changes)))
-
-
-def _take_changes(
-    host: "EntryHost", now: float, changes: tuple[Change, ...], source: str
-) -> None:
-    taken = host.configuration.offer(changes)
-    for change in taken:
-        host.report(
-            now,
-            "change-in-force",
-            version=change.version,
-            change_id=change.change_id,
-            source=source,
-        )
-    if taken:
-        intent = host.configuration.intent
-        host.allowance.share = allowance.share_of(intent, host.identity.name)
-        if host.phase is Phase.JOINING:
-            _become_ready(host, now)
-        _refresh_targets(host, now)
-
-
-def _become_ready(host: "EntryHost", now: float) -> None:
-    host.membership.own = host.membership.own._replace(phase=Phase.READY)
-    host.report(now, "ready", version=host.configuration.version)
-
-
-def _refresh_targets(host: "EntryHost", now: float) -> None:
-    intent = host.configuration.intent
-    owned = owned_targets(
-        intent, host.identity.name, host.membership.ready(now)
-    )
-    host.targets.own(owned)
-    for name, state in host.targets.states.items():
-        if intent.is_drained(Subject.TARGET, name):
-            state.leaving = True
-
-
-def _winner(rows, version: int) -> Change | None:
-    for key, row_version, value in rows:
-        if key == change_key(version) and row_version:
-            return decode_change(value)
-    return None
-
-
-def _is_idle(host: "EntryHost") -> bool:
-    return not host.exchanges and not any(True for _ in host.waiting())
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from sardinewheel_core import control, pipeline
+from sardinewheel_core import control, pipeline, rollout, stopping
 from sardinewheel_core.allowance import Allowance
 from sardinewheel_core.configuration import Configuration
 from sardinewheel_core.decisions import Decision, DecisionLog
@@ -89,7 +89,7 @@
         self.in_progress: dict[str, Exchange] = {}
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
-        self.control = control.ControlState(now=now)
+        self.rollout = rollout.RolloutState(now=now)
         self.last_id = 0
 
     def handle(self, now: float, event: Event) -> list[Effect]:
@@ -113,17 +113,17 @@
             case MessageArrived():
                 control.on_message(self, now, event)
             case RowsRead():
-                control.on_rows(self, now, event)
+                rollout.on_rows(self, now, event)
             case TransactionEnded():
-                control.on_transaction(self, now, event)
+                rollout.on_transaction(self, now, event)
             case ChangeProposed():
-                control.on_proposal(self, now, event)
+                rollout.on_proposal(self, now, event)
             case HostListRead():
                 control.on_host_list(self, now, event)
             case LoadRead():
                 control.on_load(self, now, event)
             case StopOrdered():
-                control.on_stop(self, now)
+                stopping.on_stop(self, now)
         return self.effects
 
     def look_up(self, now: float, *, service: str, block: str) -> LookupAnswer:
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -0,0 +1,18 @@
+"""The routes of the HTTP interface."""
+
+import falcon
+
+from sardinewheel_entry.api.lookups import LookupResource
+from sardinewheel_entry.api.operators import ChangesResource, StatusResource
+from sardinewheel_entry.api.requests import RequestsResource
+from sardinewheel_entry.driver import Driver
+
+
+def create_app(driver: Driver) -> falcon.App:
+    """Returns the WSGI application of an entry host."""
+    app = falcon.App()
+    app.add_route("/v1/lookup", LookupResource(driver))
+    app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
+    app.add_route("/v1/changes", ChangesResource(driver))
+    app.add_route("/v1/status", StatusResource(driver))
+    return app
--- a/packages/entry/sardinewheel_entry/main.py
+++ b/packages/entry/sardinewheel_entry/main.py
@@ -18,7 +18,8 @@
 from sardinewheel_core.errors import SettingsError  # noqa: E402
 from sardinewheel_core.host import Identity  # noqa: E402
 
-from sardinewheel_entry import api, logs, wsgi  # noqa: E402
+from sardinewheel_entry import logs, wsgi  # noqa: E402
+from sardinewheel_entry.api.app import create_app  # noqa: E402
 from sardinewheel_entry.driver import Driver  # noqa: E402
 from sardinewheel_entry.platform_client import PlatformClient  # noqa: E402
 from sardinewheel_entry.settings import Settings  # noqa: E402
@@ -75,7 +76,7 @@
     )
     platform = PlatformClient(settings.platform_address)
     driver = Driver(identity=identity, platform=platform)
-    http = wsgi.server(settings.http_address, api.create_app(driver))
+    http = wsgi.server(settings.http_address, create_app(driver))
     http.start()
     peers = driver.links.serve(settings.peer_address)
     gevent.spawn(peers.serve_forever)
