Admit by priority, reserve and retry budget; refuse at once with a booked return

Cause: the thin path admitted whoever came while a slot was free, served the waiting line only in order of priority, and told every refused caller about the same instant to come back.

Change: kinds reserve slots against less urgent ones; nobody overtakes an older claim of its own or a more urgent priority, at the targets or at the region's cap; a full line gives up its least urgent place; what cannot meet its deadline is refused at once; returns are booked as fast as room becomes free; retries have a budget; targets start slowly, pause after shedding, and reports may lower room only to a floor.

--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -9,6 +9,7 @@
     MessageArrived,
     Send,
 )
+from sardinewheel_core.filters.admission import room_for
 from sardinewheel_core.messages import ChangesSent, ChangesWanted, Heartbeat
 
 if TYPE_CHECKING:
@@ -45,13 +46,16 @@
 def on_load(host: "EntryHost", now: float, event: LoadRead) -> None:
     """Takes in a target's answer to a probe."""
     state = host.targets.states.get(event.target)
-    if state is not None and event.draining:
+    if state is None:
+        return
+    state.report(now, healthy=event.healthy, in_flight=event.in_flight)
+    if event.draining:
         state.leaving = True
 
 
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
-    rooms = tuple((name, host.targets.free(name, now)) for name in services)
+    rooms = tuple((name, room_for(host, now, name)) for name in services)
     host.membership.own = host.membership.own._replace(
         version=host.configuration.version,
         epoch=host.book.epoch,
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -1,12 +1,16 @@
 """A request while this host works on it."""
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from sardinewheel_core.intent import Kind
 from sardinewheel_core.request import Request
 from sardinewheel_core.targets import TargetState
 from sardinewheel_core.ticket import Ticket
 
+if TYPE_CHECKING:
+    from sardinewheel_core.occupancy import Occupancy
+
 
 class Stage(StrEnum):
     """Where an exchange stands."""
@@ -31,6 +35,8 @@
         stage: Where it stands.
         attempt_id: Attempt under way, or 0.
         target: Target of the attempt under way.
+        occupancy: What the attempt under way occupies.
+        waiting_since: When it began to wait for room, or nothing.
         refused_by: Targets and hosts that said they did not run it.
         attempts: Attempts made so far.
         dispatched_at: When the attempt under way began.
@@ -46,6 +52,8 @@
         self.stage = Stage.ARRIVED
         self.attempt_id = 0
         self.target: TargetState | None = None
+        self.occupancy: Occupancy | None = None
+        self.waiting_since: float | None = None
         self.refused_by: set[str] = set()
         self.attempts = 0
         self.dispatched_at = 0.0
--- a/packages/core/sardinewheel_core/filters/admission.py
+++ b/packages/core/sardinewheel_core/filters/admission.py
@@ -1,10 +1,13 @@
 """Gives a request room, lets it wait, or refuses it at once."""
 
+import math
 from typing import TYPE_CHECKING
 
 from sardinewheel_core.exchange import Exchange
 from sardinewheel_core.filters.refusals import refuse
 from sardinewheel_core.filters.verdict import Continue, Verdict, Wait
+from sardinewheel_core.intent import Service
+from sardinewheel_core.occupancy import occupy
 from sardinewheel_core.queueing import MAX_WAIT_S, MAX_WAITING
 from sardinewheel_core.request import Reason
 
@@ -15,21 +18,97 @@
 def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
     """Occupies a target and a part of the region's cap, if both have room."""
     request = exchange.request
-    slots = sum(
-        s.target.slots
-        for s in host.targets.states.values()
-        if s.service == request.service and not s.leaving
-    )
+    slots = host.targets.slots(request.service)
     if slots == 0:
         return refuse(host, now, exchange, Reason.NO_TARGET)
-    target = host.targets.pick(request.service, now)
-    if target is not None and host.allowance.take(now, request.weight):
-        target.in_flight += 1
-        exchange.target = target
-        return Continue()
+    if _may_go_now(host, now, exchange, slots):
+        target = host.targets.pick(
+            request.service,
+            now,
+            repeatable=request.repeatable,
+            excluded=frozenset(exchange.refused_by),
+        )
+        if target is not None and occupy(host, now, exchange, target):
+            return Continue()
+    return _wait_or_refuse(host, now, exchange, slots)
+
+
+def room_for(host: "EntryHost", now: float, service: str) -> int:
+    """Returns the requests of a service that would be dispatched at once."""
+    if len(host.line(service)):
+        return 0
+    return max(
+        0, min(host.targets.free(service, now), host.allowance.room(now))
+    )
+
+
+def slots_for(service: Service, priority: int, slots: int) -> int:
+    """Returns the slots that kinds of a priority or less urgent may occupy.
+
+    Room reserved for more urgent kinds is left out, but one slot remains.
+
+    Examples:
+        >>> from sardinewheel_core.intent import Kind
+        >>> kinds = {"confirm": Kind("confirm", 0, reserved=0.3)}
+        >>> service = Service("pedidos", kinds, {})
+        >>> slots_for(service, 0, 10), slots_for(service, 1, 10)
+        (10, 7)
+    """
+    reserved = sum(
+        kind.reserved
+        for kind in service.kinds.values()
+        if kind.priority < priority
+    )
+    return max(1, slots - math.ceil(reserved * slots))
+
+
+def _may_go_now(
+    host: "EntryHost", now: float, exchange: Exchange, slots: int
+) -> bool:
+    """Says whether nobody has an older claim to the room that is free."""
+    request = exchange.request
     line = host.line(request.service)
+    priority = exchange.priority
+    has_waited = exchange.waiting_since is not None
+    if not has_waited and line.ahead_of(priority) > 0:
+        return False
+    service = host.configuration.intent.services[request.service]
+    used = sum(n for rank, n in line.in_flight.items() if rank >= priority)
+    if used >= slots_for(service, priority, slots):
+        return False
+    is_fair_turn = has_waited and line.is_fair_turn
+    awaited = 0 if is_fair_turn else _units_awaited(host, priority)
+    return request.weight + awaited <= host.allowance.room(now)
+
+
+def _units_awaited(host: "EntryHost", priority: int) -> int:
+    """Returns the most units that one more urgent waiting request needs."""
+    heads = (
+        head
+        for line in host.lines.values()
+        for head in line.heads()
+        if head.priority < priority
+    )
+    return max((head.request.weight for head in heads), default=0)
+
+
+def _wait_or_refuse(
+    host: "EntryHost", now: float, exchange: Exchange, slots: int
+) -> Verdict:
+    line = host.line(exchange.request.service)
+    slack_s = exchange.request.deadline - now - line.service_time_s
+    if slack_s < 0:
+        return refuse(host, now, exchange, Reason.DEADLINE)
+    if exchange.waiting_since is not None:
+        if now - exchange.waiting_since > MAX_WAIT_S:
+            return refuse(host, now, exchange, Reason.NO_ROOM)
+        return Wait()
     wait_s = line.expected_wait_s(exchange.priority, slots)
-    slack_s = request.deadline - now - line.service_time_s
-    if wait_s > min(slack_s, MAX_WAIT_S) or len(line) >= MAX_WAITING:
+    if wait_s > min(slack_s, MAX_WAIT_S):
         return refuse(host, now, exchange, Reason.NO_ROOM)
-    return Wait()
+    if len(line) < MAX_WAITING:
+        return Wait()
+    last = line.least_urgent()
+    if last.priority > exchange.priority:
+        return Wait(instead_of=last)
+    return refuse(host, now, exchange, Reason.NO_ROOM)
--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -17,12 +17,9 @@
 ) -> Finish:
     """Returns the verdict "not run", with when and where to come back."""
     service = exchange.request.service
-    slots = sum(
-        s.target.slots
-        for s in host.targets.states.values()
-        if s.service == service
-    )
-    after = host.line(service).retry_after_s(slots, host.rng)
+    line = host.line(service)
+    interval_s = line.service_time_s / max(1, host.targets.slots(service))
+    after = line.returns.book(now, interval_s, host.rng)
     elsewhere = sorted(
         (s for s in host.membership.ready(now) if s.name != host.identity.name),
         key=lambda s: -dict(s.rooms).get(service, 0),
--- a/packages/core/sardinewheel_core/filters/verdict.py
+++ b/packages/core/sardinewheel_core/filters/verdict.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinewheel_core.exchange import Exchange
 from sardinewheel_core.messages import HostState
 from sardinewheel_core.request import Answer, Reason
 
@@ -11,7 +12,13 @@
 
 
 class Wait(NamedTuple):
-    """The exchange waits for room."""
+    """The exchange waits for room.
+
+    Attributes:
+        instead_of: Less urgent exchange that gives up its place, if any.
+    """
+
+    instead_of: Exchange | None = None
 
 
 class Finish(NamedTuple):
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from sardinewheel_core import occupancy
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -24,6 +25,7 @@
     identify,
     placement,
 )
+from sardinewheel_core.filters.refusals import refuse
 from sardinewheel_core.filters.verdict import (
     Continue,
     Delegate,
@@ -68,7 +70,7 @@
     _release(host, now, exchange, result)
     if result.ending is Ending.ANSWERED:
         _finish(host, now, exchange, _done(exchange, event.attempt_id, result))
-    elif _may_try_again(exchange, result):
+    elif _may_try_again(exchange, result) and _spend_retry(host, exchange):
         _run(host, now, exchange, EXECUTION_FILTERS)
     elif result.ending is Ending.LOST:
         answer = Answer(
@@ -101,9 +103,13 @@
 
 def serve_waiting(host: "EntryHost", now: float) -> None:
     """Takes waiting requests through the execution filters, in order."""
-    for exchange in list(host.waiting()):
-        host.line(exchange.request.service).remove(exchange)
-        _run(host, now, exchange, EXECUTION_FILTERS)
+    for line in list(host.lines.values()):
+        blocked: set[int] = set()
+        while (exchange := line.take_next(blocked)) is not None:
+            exchange.stage = Stage.ARRIVED
+            _run(host, now, exchange, EXECUTION_FILTERS)
+            if exchange.stage is Stage.WAITING:
+                blocked.add(exchange.priority)
 
 
 def _run(
@@ -122,23 +128,40 @@
             case Delegate(state, reason):
                 _forward(host, now, exchange, state, reason)
                 return
-            case Wait():
-                _wait(host, exchange)
+            case Wait(instead_of):
+                if instead_of is not None:
+                    _give_up_place(host, now, instead_of)
+                _wait(host, now, exchange)
                 return
     _dispatch(host, now, exchange)
 
 
-def _wait(host: "EntryHost", exchange: Exchange) -> None:
-    if exchange.stage is Stage.ENDED:
-        return
+def _wait(host: "EntryHost", now: float, exchange: Exchange) -> None:
     exchange.stage = Stage.WAITING
     host.in_progress[exchange.request.id] = exchange
-    host.line(exchange.request.service).push(exchange)
+    line = host.line(exchange.request.service)
+    if exchange.waiting_since is None:
+        exchange.waiting_since = now
+        line.push(exchange)
+    else:
+        line.push_back(exchange)
+
+
+def _give_up_place(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    host.line(exchange.request.service).remove(exchange)
+    _finish(
+        host,
+        now,
+        exchange,
+        refuse(host, now, exchange, Reason.OUTRANKED).answer,
+    )
 
 
 def _begin_attempt(host: "EntryHost", now: float, exchange: Exchange) -> None:
     exchange.attempt_id = host.next_id()
     exchange.attempts += 1
+    if exchange.attempts == 1:
+        host.line(exchange.request.service).budget.earn()
     exchange.dispatched_at = now
     host.exchanges[exchange.attempt_id] = exchange
     host.in_progress[exchange.request.id] = exchange
@@ -182,8 +205,8 @@
         if result.ending in (Ending.REFUSED, Ending.NOT_SENT):
             exchange.refused_by.add(exchange.forwarded_to)
         return
-    state.in_flight -= 1
-    host.allowance.give_back(exchange.request.weight)
+    occupancy.vacate(host, exchange.occupancy)
+    exchange.occupancy = None
     if result.draining:
         state.leaving = True
     if result.ending is Ending.ANSWERED:
@@ -191,7 +214,7 @@
         line = host.line(exchange.request.service)
         line.observe(result.duration_s)
     else:
-        state.shed(now)
+        state.failed(now, host.rng)
         exchange.refused_by.add(state.target.name)
 
 
@@ -207,6 +230,10 @@
     return exchange.request.delegated
 
 
+def _spend_retry(host: "EntryHost", exchange: Exchange) -> bool:
+    return host.line(exchange.request.service).budget.spend()
+
+
 def _done(exchange: Exchange, attempt_id: int, result: AttemptResult) -> Answer:
     return Answer(
         exchange.request.id,
--- /dev/null
+++ b/tests/core/test_targets.py
@@ -0,0 +1,71 @@
+"""Room of targets: slow start, shedding, and reports that mislead."""
+
+import random
+
+import pytest
+from sardinewheel_core.intent import Target
+from sardinewheel_core.targets import (
+    REPORT_VALID_S,
+    WARM_AFTER_ANSWERS,
+    TargetPool,
+)
+
+
+@pytest.fixture
+def pool():
+    pool = TargetPool(rng=random.Random(1))
+    targets = [Target(n, "quito-bodega", "127.0.0.1:1", 4) for n in ("a", "b")]
+    pool.own([("pedidos", t) for t in targets])
+    return pool
+
+
+def warm(state):
+    for _ in range(WARM_AFTER_ANSWERS):
+        state.succeeded()
+
+
+def test_new_target_starts_with_one_slot_and_grows(pool):
+    state = pool.states["a"]
+    assert state.free(0.0) == 1
+    state.succeeded()
+    assert state.free(0.0) == 2
+
+
+def test_shedding_target_is_paused_and_halved(pool):
+    state = pool.states["a"]
+    warm(state)
+    state.failed(10.0, pool.rng)
+    assert state.free(10.0) == 0
+    assert state.free(11.0) == 2
+
+
+def test_report_of_no_load_raises_nothing(pool):
+    state = pool.states["a"]
+    warm(state)
+    state.in_flight = 4
+    state.report(0.0, healthy=True, in_flight=0)
+    assert state.free(0.0) == 0
+
+
+def test_report_of_full_load_leaves_a_floor(pool):
+    state = pool.states["a"]
+    warm(state)
+    state.report(0.0, healthy=True, in_flight=1000)
+    assert state.free(0.0) == 2
+    assert state.free(REPORT_VALID_S + 1.0) == 4
+
+
+def test_target_that_reports_ill_health_is_the_last_resort(pool):
+    for state in pool.states.values():
+        warm(state)
+    pool.states["a"].report(0.0, healthy=False, in_flight=0)
+    assert pool.pick("pedidos", 0.0).target.name == "b"
+    pool.states["b"].in_flight = 4
+    assert pool.pick("pedidos", 0.0).target.name == "a"
+
+
+def test_work_that_may_not_be_repeated_avoids_cold_targets(pool):
+    warm(pool.states["a"])
+    pool.states["a"].in_flight = 3
+    assert pool.pick("pedidos", 0.0, repeatable=False).target.name == "a"
+    assert pool.pick("pedidos", 0.0, repeatable=True).target.name == "b"
