--- a/packages/core/sardinewheel_core/change.py
+++ b/packages/core/sardinewheel_core/change.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from sardinewheel_core.blocks import parse_block
 from sardinewheel_core.errors import ChangeRejectedError, Finding
 from sardinewheel_core.intent import (
     Block,
@@ -259,7 +260,8 @@
         case RemoveService(name):
             return known(name, intent.services, "a service")
         case DefineBlock(block):
-            return known(block.region, intent.regions, "a region")
+            found = known(block.region, intent.regions, "a region")
+            return found + _block_findings(block, place)
         case SetCap(region, cap):
             return known(region, intent.regions, "a region") + _cap_findings(
                 cap, place
@@ -293,6 +295,13 @@
     return {t for s in intent.services.values() for t in s.targets}
 
 
+def _block_findings(block: Block, place: str) -> list[Finding]:
+    if parse_block(block.prefix) is not None:
+        return []
+    expected = "an address prefix such as 203.0.113.0/24"
+    return [Finding(f"{place}.prefix", repr(block.prefix), expected)]
+
+
 def _cap_findings(cap: int, place: str) -> list[Finding]:
     if cap >= 0:
         return []
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -6,11 +6,12 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from sardinewheel_core import control, pipeline, rollout, stopping
 from sardinewheel_core.allowance import Allowance
+from sardinewheel_core.blocks import BlockTable
 from sardinewheel_core.configuration import Configuration
 from sardinewheel_core.decisions import Decision, DecisionLog
 from sardinewheel_core.effects import (
@@ -30,6 +31,7 @@
     TransactionEnded,
 )
 from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.intent import Block
 from sardinewheel_core.lookup import LookupAnswer, look_up
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
@@ -91,6 +93,8 @@
         self.effects: list[Effect] = []
         self.rollout = rollout.RolloutState(now=now)
         self.last_id = 0
+        self._blocks_indexed: Mapping[str, Block] = {}
+        self._block_table = BlockTable()
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         """Takes in an event and returns what the driver is to do.
@@ -134,14 +138,11 @@
             service: Service the caller wants.
             block: Caller block.
         """
-        intent = self.configuration.intent
-        known = intent.blocks.get(block)
-        region = known.region if known else self.region
         return look_up(
-            intent,
+            self.configuration.intent,
             self.membership.ready(now),
             service=service,
-            region=region,
+            region=self.region_of_block(block),
             rng=self.rng,
         )
 
@@ -150,6 +151,14 @@
         """Region in which this host stands, as far as it is configured."""
         return self.configuration.intent.region_of(self.identity.domain)
 
+    def region_of_block(self, block: str) -> str | None:
+        """Returns the region of a caller block; this host's if unknown."""
+        blocks = self.configuration.intent.blocks
+        if self._blocks_indexed is not blocks:
+            self._blocks_indexed = blocks
+            self._block_table = BlockTable.from_blocks(blocks.values())
+        return self._block_table.region_of(block) or self.region
+
     @property
     def phase(self) -> Phase:
         """Phase of this host."""
