--- /dev/null
+++ b/packages/testing/sardinewheel_testing/servers.py
@@ -0,0 +1,38 @@
+"""HTTP servers of the stand-ins, which can drop a connection."""
+
+import contextlib
+import socket
+
+import falcon
+from gevent.pywsgi import WSGIHandler
+from sardinewheel_entry import addresses
+from sardinewheel_entry.wsgi import NoDelayServer
+
+SOCKET_KEY = "sardinewheel_testing.socket"
+
+
+class SocketHandler(WSGIHandler):
+    """Gives the application the connection that a request came on."""
+
+    def get_environ(self):
+        """Returns the WSGI environment with the connection."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+
+def server(address: str, app: falcon.App) -> NoDelayServer:
+    """Returns a server for an application; it listens once started."""
+    return NoDelayServer(
+        addresses.split(address),
+        app,
+        handler_class=SocketHandler,
+        log=None,
+        error_log=None,
+    )
+
+
+def drop_connection(req: falcon.Request) -> None:
+    """Breaks the connection of a request, so that no answer arrives."""
+    with contextlib.suppress(OSError):
+        req.env[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/testing/test_platform.py
@@ -0,0 +1,81 @@
+"""The platform stand-in fails in the ways that a test asks for."""
+
+import json
+
+import pytest
+from sardinewheel_testing.processes import (
+    free_address,
+    http,
+    stand_in,
+    wait_until,
+)
+
+JSON = {"Content-Type": "application/json"}
+
+
+@pytest.fixture
+def platform(tmp_path):
+    address = free_address()
+    process = stand_in("platform", address, log_file=tmp_path / "log")
+    try:
+        wait_until(lambda: http("GET", address, "/control"))
+        yield address
+    finally:
+        process.stop()
+
+
+def call(address, method, path, plain):
+    body = json.dumps(plain).encode()
+    return http(method, address, path, body=body, headers=JSON)
+
+
+def transact(address, change_id, version):
+    plain = {
+        "change_id": change_id,
+        "checks": [["head", version]],
+        "writes": [["head", change_id]],
+    }
+    return call(address, "POST", "/v1/table/transact", plain).media
+
+
+def read(address):
+    rows = call(address, "POST", "/v1/table/read", {"keys": ["head"]})
+    return rows.media["rows"][0]
+
+
+def test_lost_answer_keeps_the_write(platform):
+    call(platform, "PUT", "/control", {"mode": "lose-answers", "count": 1})
+    with pytest.raises(OSError):
+        transact(platform, "c-1", 0)
+    assert read(platform) == {"key": "head", "version": 1, "value": "c-1"}
+    assert transact(platform, "c-1", 0)["committed"]
+    assert read(platform)["version"] == 1
+
+
+def test_conflict_shows_the_row(platform):
+    assert transact(platform, "c-1", 0)["committed"]
+    lost = transact(platform, "c-2", 0)
+    assert not lost["committed"]
+    assert lost["rows"][0]["value"] == "c-1"
+
+
+def test_down_applies_nothing(platform):
+    call(platform, "PUT", "/control", {"mode": "down", "count": 1})
+    with pytest.raises(OSError):
+        transact(platform, "c-1", 0)
+    assert read(platform)["version"] == 0
+
+
+def test_objects_and_counts(platform):
+    http("PUT", platform, "/v1/objects/a", body=b"bytes")
+    assert http("GET", platform, "/v1/objects/a").body == b"bytes"
+    counted = http("GET", platform, "/control").media
+    assert (counted["reads"], counted["writes"]) == (1, 1)
+
+
+def test_host_list_lags(platform):
+    hosts = {"hosts": [{"name": "t1", "state": "leaving"}]}
+    call(platform, "PUT", "/v1/hosts", hosts)
+    assert http("GET", platform, "/v1/hosts").media == hosts
+    call(platform, "PUT", "/control", {"list_lag_s": 3600.0})
+    assert http("GET", platform, "/v1/hosts").media == {"hosts": []}
--- /dev/null
+++ b/tests/testing/test_target.py
@@ -0,0 +1,88 @@
+"""The target stand-in counts what it executes and signals what it should."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from sardinewheel_testing.processes import (
+    free_address,
+    http,
+    stand_in,
+    wait_until,
+)
+
+
+@pytest.fixture
+def target(tmp_path):
+    address = free_address()
+    process = stand_in("target", address, "1", log_file=tmp_path / "log")
+    try:
+        wait_until(lambda: http("GET", address, "/health"))
+        yield address
+    finally:
+        process.stop()
+
+
+def behave(address, **fields):
+    http(
+        "PUT",
+        address,
+        "/control",
+        body=json.dumps(fields).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+
+
+def work(address, request_id, **headers):
+    fields = {"Sardinewheel-Request-Id": request_id, **headers}
+    return http("POST", address, "/", body=b"x", headers=fields)
+
+
+def wait_for_execution(address, request_id):
+    wait_until(lambda: request_id in http("GET", address, "/executions").media)
+
+
+def test_full_slots_are_shed(target):
+    behave(target, service_time_s={"": 30.0})
+    with ThreadPoolExecutor() as pool:
+        first = pool.submit(work, target, "a")
+        wait_for_execution(target, "a")
+        shed = work(target, "b")
+        cancelled = http(
+            "DELETE", target, "/", headers={"Sardinewheel-Request-Id": "a"}
+        )
+        assert first.result().status == 499
+    assert (shed.status, shed.headers["sardinewheel-shed"]) == (503, "true")
+    assert cancelled.status == 204
+    report = http("GET", target, "/control").media
+    assert report["executions"] == {"a": 1}
+    assert report["weight"]["most"] == 1
+
+
+def test_deadline_ends_an_execution(target):
+    behave(target, service_time_s={"": 30.0})
+    late = work(target, "a", **{"Sardinewheel-Deadline-Ms": "20"})
+    assert late.status == 504
+    spent = work(target, "b", **{"Sardinewheel-Deadline-Ms": "0"})
+    assert spent.status == 503
+    assert http("GET", target, "/executions").media == {"a": 1}
+
+
+def test_weight_is_metered(target):
+    work(target, "a", **{"Sardinewheel-Weight": "4"})
+    assert http("GET", target, "/control").media["weight"]["most"] == 4
+
+
+def test_draining_and_lying(target):
+    behave(target, draining=True, load_report="lying")
+    assert work(target, "a").headers["sardinewheel-draining"] == "true"
+    assert http("GET", target, "/health").media["draining"]
+    assert http("GET", target, "/load").media["in_flight"] == 0
+
+
+def test_plain_target_knows_no_headers(target):
+    behave(target, plain=True, draining=True)
+    answer = work(target, "a", **{"Sardinewheel-Deadline-Ms": "0"})
+    assert (answer.status, answer.body) == (200, b"done x")
+    assert not any(name.startswith("sardinewheel") for name in answer.headers)
+    assert http("GET", target, "/health").status == 404
