--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -2,15 +2,23 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import dispatching, rollout, stopping
+from sardinewheel_core import dispatching, proposals, rollout, stopping
 from sardinewheel_core.effects import (
     HostListRead,
     LoadRead,
     MessageArrived,
+    ObjectRead,
+    RowsRead,
     Send,
+    TransactionEnded,
 )
 from sardinewheel_core.filters.admission import room_for
-from sardinewheel_core.messages import ChangesSent, ChangesWanted, Heartbeat
+from sardinewheel_core.messages import (
+    ChangesSent,
+    ChangesWanted,
+    Heartbeat,
+    SnapshotPart,
+)
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -23,6 +31,7 @@
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
     rollout.poll(host, now)
+    proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
     stopping.on_tick(host, now)
 
@@ -32,11 +41,29 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
-            rollout.ask_for_changes(host, states)
+            rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
-            rollout.take_changes(host, now, changes, "peer")
+            rollout.on_changes(host, now, event.sender, changes)
+        case SnapshotPart():
+            rollout.on_snapshot_part(host, now, event.sender, event.message)
+
+
+def on_platform(
+    host: "EntryHost",
+    now: float,
+    event: RowsRead | TransactionEnded | ObjectRead,
+) -> None:
+    """Takes in an answer of the platform; each part knows its own calls."""
+    match event:
+        case RowsRead():
+            rollout.on_rows(host, now, event)
+            proposals.on_rows(host, now, event)
+        case TransactionEnded():
+            proposals.on_transaction(host, now, event)
+        case ObjectRead():
+            rollout.on_object(host, now, event)
 
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
--- a/packages/core/sardinewheel_core/effects.py
+++ b/packages/core/sardinewheel_core/effects.py
@@ -107,6 +107,32 @@
     failed: bool = False
 
 
+class ObjectRead(NamedTuple):
+    """The platform answered a read of the object store.
+
+    Attributes:
+        call_id: Call that it answers.
+        text: The object, or nothing when it is absent.
+        failed: Whether the platform did not answer.
+    """
+
+    call_id: int
+    text: str | None = None
+    failed: bool = False
+
+
+class ChangeAsked(NamedTuple):
+    """An operator asks what became of a change.
+
+    Attributes:
+        proposal_id: Number under which the answer is reported.
+        change_id: Id of the change.
+    """
+
+    proposal_id: int
+    change_id: str
+
+
 class HostListRead(NamedTuple):
     """The platform's lagging list of hosts: pairs of name and state."""
 
@@ -142,6 +168,8 @@
     | Ticked
     | RowsRead
     | TransactionEnded
+    | ObjectRead
+    | ChangeAsked
     | HostListRead
     | LoadRead
     | StopOrdered
@@ -203,12 +231,18 @@
 
 
 class ProposalState(StrEnum):
-    """How a proposal ended."""
+    """How a proposal ended.
+
+    ``UNKNOWN`` is said only when the platform stayed away after the change
+    may have reached it; ``ABSENT`` answers a question about a change id that
+    created no version so far.
+    """
 
     ACCEPTED = "accepted"
     REJECTED = "rejected"
     CONFLICT = "conflict"
     UNKNOWN = "unknown"
+    ABSENT = "absent"
 
 
 class ProposalEnded(NamedTuple):
@@ -250,6 +284,21 @@
     keys: tuple[str, ...]
 
 
+class ReadObject(NamedTuple):
+    """Read an object of the platform's object store."""
+
+    call_id: int
+    name: str
+
+
+class PutObject(NamedTuple):
+    """Write an object of the platform's object store; it may fail."""
+
+    call_id: int
+    name: str
+    text: str
+
+
 class Transact(NamedTuple):
     """Write rows if others have the expected versions, in one transaction.
 
@@ -285,6 +334,8 @@
     | ProposalEnded
     | Send
     | ReadRows
+    | ReadObject
+    | PutObject
     | Transact
     | Report
     | Exit
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from sardinewheel_core import control, pipeline, rollout, stopping
+from sardinewheel_core import control, pipeline, proposals, rollout, stopping
 from sardinewheel_core.allowance import Allowance
 from sardinewheel_core.blocks import BlockTable
 from sardinewheel_core.configuration import Configuration
@@ -17,12 +17,14 @@
 from sardinewheel_core.effects import (
     AttemptEnded,
     CancelArrived,
+    ChangeAsked,
     ChangeProposed,
     Effect,
     Event,
     HostListRead,
     LoadRead,
     MessageArrived,
+    ObjectRead,
     Report,
     RequestArrived,
     RowsRead,
@@ -37,6 +39,7 @@
 from sardinewheel_core.messages import HostState, Phase
 from sardinewheel_core.outcomes import OutcomeBook
 from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
 
 
@@ -92,6 +95,8 @@
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
         self.rollout = rollout.RolloutState(now=now)
+        self.snapshots = SnapshotState()
+        self.proposals: dict[int, proposals.Proposal] = {}
         self.last_id = 0
         self._blocks_indexed: Mapping[str, Block] = {}
         self._block_table = BlockTable()
@@ -116,12 +121,10 @@
                 pipeline.on_tick(self, now)
             case MessageArrived():
                 control.on_message(self, now, event)
-            case RowsRead():
-                rollout.on_rows(self, now, event)
-            case TransactionEnded():
-                rollout.on_transaction(self, now, event)
-            case ChangeProposed():
-                rollout.on_proposal(self, now, event)
+            case RowsRead() | TransactionEnded() | ObjectRead():
+                control.on_platform(self, now, event)
+            case ChangeProposed() | ChangeAsked():
+                proposals.on_operator(self, now, event)
             case HostListRead():
                 control.on_host_list(self, now, event)
             case LoadRead():
--- a/packages/core/sardinewheel_core/membership.py
+++ b/packages/core/sardinewheel_core/membership.py
@@ -108,15 +108,16 @@
         alive = [s for s in self.alive(now) if s.name != self.own.name]
         near = [s for s in alive if s.domain == self.own.domain]
         far = [s for s in alive if s.domain != self.own.domain]
-        chosen = self._sample(near, FANOUT_DOMAIN)
-        chosen += self._sample(far, FANOUT_ELSEWHERE)
+        chosen = self.sample(near, FANOUT_DOMAIN)
+        chosen += self.sample(far, FANOUT_ELSEWHERE)
         peers = [Peer(s.name, s.peer_address) for s in chosen]
         known = {s.peer_address for s in alive} | {self.own.peer_address}
         silent = [a for a in self.seeds if a not in known]
-        peers += [Peer("", address) for address in self._sample(silent, 1)]
+        peers += [Peer("", address) for address in self.sample(silent, 1)]
         return peers
 
-    def _sample(self, items: list, count: int) -> list:
+    def sample(self, items: list, count: int) -> list:
+        """Returns up to ``count`` random items."""
         return self.rng.sample(items, min(count, len(items)))
 
     def _forget(self, now: float) -> None:
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -70,6 +70,22 @@
     changes: tuple[Change, ...]
 
 
+class SnapshotPart(NamedTuple):
+    """Part of a whole intent, for a host that is far behind.
+
+    Attributes:
+        version: Version of the intent.
+        part: Index of this part, from 0.
+        parts: Number of parts.
+        text: Piece of the intent's JSON text.
+    """
+
+    version: int
+    part: int
+    parts: int
+    text: str
+
+
 class LoanWanted(NamedTuple):
     """Asks a host of the same region to lend units of the region's cap."""
 
@@ -142,6 +158,7 @@
     Heartbeat
     | ChangesWanted
     | ChangesSent
+    | SnapshotPart
     | LoanWanted
     | LoanGranted
     | LoanReturned
@@ -153,6 +170,7 @@
     Heartbeat,
     ChangesWanted,
     ChangesSent,
+    SnapshotPart,
     LoanWanted,
     LoanGranted,
     LoanReturned,
--- a/packages/core/sardinewheel_core/rollout.py
+++ b/packages/core/sardinewheel_core/rollout.py
@@ -1,39 +1,40 @@
-"""How configuration changes are accepted and come into force on this host."""
+"""How accepted changes come into force on this host and its neighbours."""
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import allowance, dispatching
-from sardinewheel_core.change import Change, apply_change
+from sardinewheel_core import allowance, dispatching, snapshots
+from sardinewheel_core.change import Change
 from sardinewheel_core.configuration import (
     HEAD_KEY,
     change_key,
     decode_change,
-    encode_change,
 )
-from sardinewheel_core.effects import (
-    ChangeProposed,
-    ProposalEnded,
-    ProposalState,
-    ReadRows,
-    RowsRead,
-    Send,
-    Transact,
-    TransactionEnded,
-)
-from sardinewheel_core.errors import ChangeRejectedError
+from sardinewheel_core.effects import ObjectRead, ReadRows, RowsRead, Send
+from sardinewheel_core.errors import MessageError
+from sardinewheel_core.intent import Intent
 from sardinewheel_core.messages import (
     ChangesSent,
     ChangesWanted,
     HostState,
     Phase,
+    SnapshotPart,
 )
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
 POLL_INTERVAL_S = 1.0
+POLL_JITTER = 0.2
+LONGEST_POLL_INTERVAL_S = 4.0
+POLL_CALL_LIMIT_S = 10.0
 POLLERS_PER_DOMAIN = 2
-ROWS_PER_POLL = 20
+ROWS_PER_POLL = 50
+ASK_INTERVAL_S = 1.0
+JOIN_WAIT_S = 2.0
+PUSH_NEAR = 3
+PUSH_FAR = 3
+
+Rows = tuple[tuple[str, int, str], ...]
 
 
 class RolloutState:
@@ -41,124 +42,154 @@
 
     Attributes:
         next_poll_at: When the table is read next.
+        poll_interval_s: Interval of polls; grows while the platform is away.
         poll_call: Read under way, or 0.
-        proposals: Proposals under way, by transaction call.
+        poll_started_at: When that read began.
+        next_ask_at: Instant before which neighbours are not asked again.
+        synced: Whether this host has seen the platform's head.
+        ready_at: Instant from which neighbours alone make it ready.
+        reads: Reads of the platform's services so far.
+        writes: Writes to them so far.
+        refused: Row or change last reported as refused.
     """
 
     def __init__(self, *, now: float):
         self.next_poll_at = now
+        self.poll_interval_s = POLL_INTERVAL_S
         self.poll_call = 0
-        self.proposals: dict[int, tuple[ChangeProposed, Change]] = {}
+        self.poll_started_at = now
+        self.next_ask_at = now
+        self.synced = False
+        self.ready_at = now + JOIN_WAIT_S
+        self.reads = 0
+        self.writes = 0
+        self.refused = ""
 
 
 def poll(host: "EntryHost", now: float) -> None:
     """Reads the table when that is due and this host's turn."""
-    if now < host.rollout.next_poll_at or not _is_poller(host, now):
+    become_ready(host, now)
+    state = host.rollout
+    if now < state.next_poll_at or not _is_poller(host, now):
         return
-    host.rollout.next_poll_at = now + POLL_INTERVAL_S
-    host.rollout.poll_call = host.next_id()
+    if state.poll_call and now - state.poll_started_at < POLL_CALL_LIMIT_S:
+        return
+    jitter = host.rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+    state.next_poll_at = now + state.poll_interval_s * jitter
+    state.poll_call = host.next_id()
+    state.poll_started_at = now
+    state.reads += 1
+    host.emit(ReadRows(state.poll_call, next_keys(host)))
+
+
+def next_keys(host: "EntryHost") -> tuple[str, ...]:
+    """Returns the keys of the head and of the changes that come next."""
     first = host.configuration.version + 1
-    keys = [change_key(v) for v in range(first, first + ROWS_PER_POLL)]
-    host.emit(ReadRows(host.rollout.poll_call, (HEAD_KEY, *keys)))
+    versions = range(first, first + ROWS_PER_POLL)
+    return (HEAD_KEY, *(change_key(v) for v in versions))
 
 
 def on_rows(host: "EntryHost", now: float, event: RowsRead) -> None:
     """Takes in rows of the platform's table."""
-    if event.call_id != host.rollout.poll_call:
+    state = host.rollout
+    if event.call_id != state.poll_call:
         return
-    host.rollout.poll_call = 0
+    state.poll_call = 0
     if event.failed:
+        doubled = 2 * state.poll_interval_s
+        state.poll_interval_s = min(LONGEST_POLL_INTERVAL_S, doubled)
         return
-    changes = tuple(
-        decode_change(value)
-        for key, row_version, value in event.rows
-        if row_version and key != HEAD_KEY
-    )
-    take_changes(host, now, changes, "platform")
-    if host.phase is Phase.JOINING and host.configuration.version:
-        _become_ready(host, now)
-
-
-def on_proposal(host: "EntryHost", now: float, event: ChangeProposed) -> None:
-    """Checks an operator's change and offers it to the platform's table."""
-    intent = host.configuration.intent
-    change = Change(
-        intent.version + 1, event.change_id, event.author, event.operations
-    )
-    try:
-        apply_change(intent, change)
-    except ChangeRejectedError as error:
-        host.emit(
-            ProposalEnded(
-                event.proposal_id,
-                ProposalState.REJECTED,
-                findings=error.findings,
-            )
-        )
-        return
-    call_id = host.next_id()
-    host.rollout.proposals[call_id] = (event, change)
-    head = f'{{"version":{change.version}}}'
-    host.emit(
-        Transact(
-            call_id,
-            event.change_id,
-            checks=(
-                (HEAD_KEY, intent.version),
-                (change_key(change.version), 0),
-            ),
-            writes=(
-                (HEAD_KEY, head),
-                (change_key(change.version), encode_change(change)),
-            ),
-        )
-    )
+    state.poll_interval_s = POLL_INTERVAL_S
+    if not snapshots.fetch(host, head_version(event.rows)):
+        take_rows(host, now, event.rows)
+
+
+def take_rows(host: "EntryHost", now: float, rows: Rows) -> None:
+    """Takes the changes of table rows and notes how far the chain goes."""
+    before = host.configuration.version
+    take_changes(host, now, _changes_of(host, now, rows), "platform")
+    version = host.configuration.version
+    if version >= head_version(rows):
+        host.rollout.synced = True
+        become_ready(host, now)
+    elif version > before:
+        host.rollout.next_poll_at = now
 
 
-def on_transaction(
-    host: "EntryHost", now: float, event: TransactionEnded
+def on_object(host: "EntryHost", now: float, event: ObjectRead) -> None:
+    """Takes in a snapshot of the object store."""
+    intent = snapshots.on_object(host, now, event)
+    if intent is not None:
+        take_intent(host, now, intent, "store")
+    host.rollout.next_poll_at = now
+
+
+def on_snapshot_part(
+    host: "EntryHost", now: float, sender: str, part: SnapshotPart
 ) -> None:
-    """Learns how a transaction ended."""
-    entry = host.rollout.proposals.pop(event.call_id, None)
-    if entry is None:
+    """Takes in a part of a neighbour's snapshot."""
+    if part.version <= host.configuration.version:
         return
-    proposal, change = entry
-    if event.committed:
-        take_changes(host, now, (change,), "operator")
-        ended = ProposalEnded(
-            proposal.proposal_id, ProposalState.ACCEPTED, change.version
-        )
-    elif event.failed:
-        ended = ProposalEnded(proposal.proposal_id, ProposalState.UNKNOWN)
-    else:
-        winner = _winner(event.rows, change.version)
-        ended = ProposalEnded(
-            proposal.proposal_id, ProposalState.CONFLICT, winner=winner
-        )
-        host.rollout.next_poll_at = now
-    host.emit(ended)
+    host.rollout.next_ask_at = now + ASK_INTERVAL_S
+    intent = snapshots.on_part(host, now, sender, part)
+    if intent is not None:
+        take_intent(host, now, intent, sender)
+
+
+def head_version(rows: Rows) -> int:
+    """Returns the version of the chain's head, which is its row version."""
+    return next((v for key, v, _ in rows if key == HEAD_KEY), 0)
 
 
-def ask_for_changes(host: "EntryHost", states: tuple[HostState, ...]) -> None:
+def ask_for_changes(
+    host: "EntryHost", now: float, states: tuple[HostState, ...]
+) -> None:
     """Asks the host that is furthest ahead for what is missing here."""
-    ahead = [s for s in states if s.version > host.configuration.version]
-    if ahead:
-        best = max(ahead, key=lambda s: s.version)
-        wanted = ChangesWanted(host.configuration.version)
-        host.emit(Send(best.name, best.peer_address, wanted))
+    ahead = [
+        s
+        for s in states
+        if s.version > host.configuration.version and s.phase is not Phase.GONE
+    ]
+    if not ahead or now < host.rollout.next_ask_at:
+        return
+    host.rollout.next_ask_at = now + ASK_INTERVAL_S
+    best = max(ahead, key=lambda s: s.version)
+    wanted = ChangesWanted(host.configuration.version)
+    host.emit(Send(best.name, best.peer_address, wanted))
 
 
 def send_changes(host: "EntryHost", receiver: str, after: int) -> None:
-    """Sends a peer the changes that it asked for."""
-    changes = host.configuration.after(after)
+    """Sends a peer the changes that it asked for, or a whole intent."""
     state = host.membership.states.get(receiver)
-    if changes and state is not None:
+    if state is None or after >= host.configuration.version:
+        return
+    changes = host.configuration.after(after)
+    if changes:
         host.emit(Send(receiver, state.peer_address, ChangesSent(changes)))
+    else:
+        snapshots.send(host, state)
+
+
+def on_changes(
+    host: "EntryHost", now: float, sender: str, changes: tuple[Change, ...]
+) -> None:
+    """Takes a peer's changes and asks for what is still missing."""
+    taken = take_changes(host, now, changes, sender)
+    state = host.membership.states.get(sender)
+    highest = max((c.version for c in changes), default=0)
+    version = host.configuration.version
+    if state is None:
+        return
+    if taken and version < state.version:
+        host.rollout.next_ask_at = now
+        ask_for_changes(host, now, (state,))
+    elif highest > version:
+        ask_for_changes(host, now, (state._replace(version=highest),))
 
 
 def take_changes(
     host: "EntryHost", now: float, changes: tuple[Change, ...], source: str
-) -> None:
+) -> list[Change]:
     """Puts changes in force that follow the version here."""
     taken = host.configuration.offer(changes)
     for change in taken:
@@ -169,30 +200,112 @@
             change_id=change.change_id,
             source=source,
         )
+    if host.configuration.refusal is not None:
+        version = host.configuration.version + 1
+        error = str(host.configuration.refusal)
+        _report_refusal(host, now, f"version {version}", error)
     if taken:
-        intent = host.configuration.intent
-        host.allowance.share = allowance.share_of(intent, host.identity.name)
-        if host.phase is Phase.JOINING:
-            _become_ready(host, now)
-        dispatching.refresh_targets(host, now)
+        _push(host, now, tuple(taken))
+        on_intent(host, now)
+    return taken
 
 
-def _is_poller(host: "EntryHost", now: float) -> bool:
-    names = [
-        s.name
+def take_intent(
+    host: "EntryHost", now: float, intent: Intent, source: str
+) -> None:
+    """Puts a whole intent in force if it is newer."""
+    if host.configuration.load(intent):
+        host.report(
+            now, "snapshot-in-force", version=intent.version, source=source
+        )
+        on_intent(host, now)
+
+
+def on_intent(host: "EntryHost", now: float) -> None:
+    """Adapts this host to the intent that came into force."""
+    intent = host.configuration.intent
+    host.allowance.share = allowance.share_of(intent, host.identity.name)
+    own = host.membership.own
+    host.membership.own = own._replace(version=intent.version)
+    _store_snapshot(host, now)
+    become_ready(host, now)
+    dispatching.refresh_targets(host, now)
+
+
+def become_ready(host: "EntryHost", now: float) -> None:
+    """Makes a joining host ready once its configuration is the latest."""
+    if host.phase is not Phase.JOINING or not host.configuration.version:
+        return
+    known = max((s.version for s in host.membership.alive(now)), default=0)
+    if host.configuration.version < known:
+        return
+    if host.rollout.synced or now >= host.rollout.ready_at:
+        host.membership.own = host.membership.own._replace(phase=Phase.READY)
+        host.report(now, "ready", version=host.configuration.version)
+
+
+def _changes_of(
+    host: "EntryHost", now: float, rows: Rows
+) -> tuple[Change, ...]:
+    """Returns the changes of well-formed rows and reports the others."""
+    changes = []
+    prefix = change_key(0)[:-9]
+    for key, row_version, value in rows:
+        if not row_version or not key.removeprefix(prefix).isdigit():
+            continue
+        try:
+            change = decode_change(value)
+        except MessageError as error:
+            _report_refusal(host, now, key, str(error))
+            continue
+        if change_key(change.version) == key:
+            changes.append(change)
+        else:
+            _report_refusal(host, now, key, f"holds version {change.version}")
+    return tuple(changes)
+
+
+def _report_refusal(
+    host: "EntryHost", now: float, place: str, error: str
+) -> None:
+    """Reports a change that cannot be taken, once in a row."""
+    if host.rollout.refused != place:
+        host.rollout.refused = place
+        host.report(now, "change-refused", place=place, error=error)
+
+
+def _push(host: "EntryHost", now: float, changes: tuple[Change, ...]) -> None:
+    """Passes changes on at once to some hosts that do not have them."""
+    version = host.configuration.version
+    others = [
+        s
         for s in host.membership.alive(now)
-        if s.domain == host.identity.domain
+        if s.name != host.identity.name and s.version < version
     ]
-    return host.identity.name in names[:POLLERS_PER_DOMAIN]
+    near = [s for s in others if s.domain == host.identity.domain]
+    far = [s for s in others if s.domain != host.identity.domain]
+    chosen = host.membership.sample(near, PUSH_NEAR)
+    chosen += host.membership.sample(far, PUSH_FAR)
+    for state in chosen:
+        host.emit(Send(state.name, state.peer_address, ChangesSent(changes)))
 
 
-def _become_ready(host: "EntryHost", now: float) -> None:
-    host.membership.own = host.membership.own._replace(phase=Phase.READY)
-    host.report(now, "ready", version=host.configuration.version)
+def _store_snapshot(host: "EntryHost", now: float) -> None:
+    """Writes a snapshot of some versions, if this host is a poller."""
+    version = host.configuration.version
+    if snapshots.latest_snapshot(version) != version:
+        return
+    if host.phase is Phase.READY and _is_poller(host, now):
+        host.rollout.writes += 1
+        snapshots.store(host)
 
 
-def _winner(rows, version: int) -> Change | None:
-    for key, row_version, value in rows:
-        if key == change_key(version) and row_version:
-            return decode_change(value)
-    return None
+def _is_poller(host: "EntryHost", now: float) -> bool:
+    if host.phase is Phase.JOINING:
+        return True
+    names = [
+        s.name
+        for s in host.membership.alive(now)
+        if s.domain == host.identity.domain and s.phase is not Phase.LEAVING
+    ]
+    return host.identity.name in names[:POLLERS_PER_DOMAIN]
--- a/packages/entry/sardinewheel_entry/api/app.py
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -2,6 +2,7 @@
 
 import falcon
 
+from sardinewheel_entry.api.changes import ChangeResource
 from sardinewheel_entry.api.lookups import LookupResource
 from sardinewheel_entry.api.operators import ChangesResource, StatusResource
 from sardinewheel_entry.api.requests import RequestsResource
@@ -14,5 +15,6 @@
     app.add_route("/v1/lookup", LookupResource(driver))
     app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
     app.add_route("/v1/changes", ChangesResource(driver))
+    app.add_route("/v1/changes/{change_id}", ChangeResource(driver))
     app.add_route("/v1/status", StatusResource(driver))
     return app
--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -10,6 +10,7 @@
 from sardinewheel_core.effects import (
     AttemptEnded,
     CancelAttempt,
+    ChangeAsked,
     ChangeProposed,
     Dispatch,
     Effect,
@@ -18,11 +19,12 @@
     Forward,
     MessageArrived,
     ProposalEnded,
+    PutObject,
+    ReadObject,
     ReadRows,
     Reply,
     Report,
     RequestArrived,
-    RowsRead,
     Send,
     Ticked,
     Transact,
@@ -34,7 +36,7 @@
 from sardinewheel_entry.attempts import AttemptRunner, Payload
 from sardinewheel_entry.http_exchange import HttpResponse
 from sardinewheel_entry.peers import PeerLinks
-from sardinewheel_entry.platform_client import PlatformClient
+from sardinewheel_entry.platform_client import PlatformClient, PlatformEffect
 
 TICK_S = 0.1
 RESPONSES_KEPT = 512
@@ -97,8 +99,8 @@
             self.payloads.pop(request.id, None)
         return answer, self.responses.get(answer.attempt_id)
 
-    def propose(self, event: ChangeProposed) -> ProposalEnded:
-        """Proposes an operator's change and returns how that ended."""
+    def propose(self, event: ChangeProposed | ChangeAsked) -> ProposalEnded:
+        """Proposes a change, or asks about one; returns how that ended."""
         self.last_id += 1
         result = self.proposals[self.last_id] = AsyncResult()
         self.feed(event._replace(proposal_id=self.last_id))
@@ -119,10 +121,8 @@
                 self.waiting.pop(arrival_id).set(answer)
             case Send(_, address, message):
                 self.links.send(address, message)
-            case ReadRows():
-                gevent.spawn(self._read_rows, effect)
-            case Transact():
-                gevent.spawn(self._transact, effect)
+            case ReadRows() | ReadObject() | Transact() | PutObject():
+                gevent.spawn(self._call_platform, effect)
             case ProposalEnded():
                 self.proposals.pop(effect.proposal_id).set(effect)
             case Report(event, fields):
@@ -145,12 +145,7 @@
         while len(self.responses) > RESPONSES_KEPT:
             self.responses.pop(next(iter(self.responses)))
 
-    def _read_rows(self, effect: ReadRows) -> None:
-        rows = self.platform.read(effect.keys)
-        if rows is None:
-            self.feed(RowsRead(effect.call_id, (), failed=True))
-        else:
-            self.feed(RowsRead(effect.call_id, rows))
-
-    def _transact(self, effect: Transact) -> None:
-        self.feed(self.platform.transact(effect))
+    def _call_platform(self, effect: PlatformEffect) -> None:
+        event = self.platform.call(effect)
+        if event is not None:
+            self.feed(event)
