Keep the ranks of entry hosts between look-ups

Cause: each look-up ranked every ready host, which grows with the fleet; at 4,000 hosts that is thousands of draws for an answer of three. Change: ranks by region and service are kept for half a second, and at most 16 hosts of a rank are drawn from.

--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -31,8 +31,8 @@
     TransactionEnded,
 )
 from sardinewheel_core.exchange import Exchange
-from sardinewheel_core.intent import Block
-from sardinewheel_core.lookup import LookupAnswer, look_up
+from sardinewheel_core.intent import Block, Intent
+from sardinewheel_core.lookup import LookupAnswer, LookupIndex
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
 from sardinewheel_core.outcomes import OutcomeBook
@@ -95,6 +95,7 @@
         self.last_id = 0
         self._blocks_indexed: Mapping[str, Block] = {}
         self._block_table = BlockTable()
+        self._lookup_index = LookupIndex(Intent.empty(), [], now=now)
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         """Takes in an event and returns what the driver is to do.
@@ -138,9 +139,11 @@
             service: Service the caller wants.
             block: Caller block.
         """
-        return look_up(
-            self.configuration.intent,
-            self.membership.ready(now),
+        intent = self.configuration.intent
+        if not self._lookup_index.is_valid(intent, now):
+            ready = self.membership.ready(now)
+            self._lookup_index = LookupIndex(intent, ready, now=now)
+        return self._lookup_index.look_up(
             service=service,
             region=self.region_of_block(block),
             rng=self.rng,
--- a/packages/core/sardinewheel_core/lookup.py
+++ b/packages/core/sardinewheel_core/lookup.py
@@ -10,6 +10,8 @@
 TTL_S = 5.0
 TTL_JITTER = 0.4
 HOSTS_PER_ANSWER = 3
+MAX_CANDIDATES = 16
+INDEX_VALID_S = 0.5
 
 
 class LookupEntry(NamedTuple):
@@ -27,41 +29,86 @@
     ttl_s: float
 
 
-def look_up(
-    intent: Intent,
-    ready: list[HostState],
-    *,
-    service: str,
-    region: str | None,
-    rng: random.Random,
-) -> LookupAnswer:
-    """Ranks the entry hosts for callers of a region.
+class LookupIndex:
+    """Entry hosts by callers' region and service, for a short while.
 
-    Hosts of failure domains with targets of the service come first, those of
-    the callers' own region before others. Within a rank the order is random,
-    weighted by free room.
+    Ranking every host for every look-up would cost more than the rest of the
+    look-up, so the ranks are kept until they are ``INDEX_VALID_S`` old.
+
+    Attributes:
+        intent: Intent that it was made from.
+        made_at: When it was made.
     """
-    domains = set()
-    if service in intent.services:
-        targets = intent.services[service].targets.values()
+
+    def __init__(self, intent: Intent, ready: list[HostState], *, now: float):
+        self.intent = intent
+        self.made_at = now
+        self._ready = ready
+        self._tiers: dict[tuple[str | None, str], Tiers] = {}
+
+    def is_valid(self, intent: Intent, now: float) -> bool:
+        """Says whether it may still be used."""
+        age_s = now - self.made_at
+        return self.intent is intent and age_s < INDEX_VALID_S
+
+    def look_up(
+        self, *, service: str, region: str | None, rng: random.Random
+    ) -> LookupAnswer:
+        """Ranks the entry hosts for callers of a region.
+
+        Hosts of the callers' own region come first, and among them those of
+        failure domains with targets of the service. Within a rank the order is
+        random, weighted by free room.
+        """
+        key = (region, service)
+        if key not in self._tiers:
+            self._tiers[key] = self._make_tiers(service, region)
+        chosen: list[LookupEntry] = []
+        for tier in self._tiers[key]:
+            missing = HOSTS_PER_ANSWER - len(chosen)
+            if missing <= 0:
+                break
+            chosen += _draw(tier, missing, rng)
+        ttl_s = TTL_S * (1 - TTL_JITTER * rng.random())
+        return LookupAnswer(tuple(chosen), ttl_s)
+
+    def _make_tiers(self, service: str, region: str | None) -> "Tiers":
+        known = self.intent.services.get(service)
+        targets = known.targets.values() if known else ()
         domains = {target.domain for target in targets}
+        home = self.intent.regions.get(region)
+        home_domains = set(home.domains) if home else set()
+        tiers: Tiers = ([], [], [], [])
+        for state in self._ready:
+            is_far = state.domain not in home_domains
+            is_bare = state.domain not in domains
+            room = dict(state.rooms).get(service, 0)
+            candidate = Candidate(_entry(state), 1.0 / (1 + max(0, room)))
+            tiers[2 * is_far + is_bare].append(candidate)
+        return tiers
+
+
+class Candidate(NamedTuple):
+    """An entry host in a rank; a smaller exponent is drawn more often."""
+
+    entry: LookupEntry
+    exponent: float
+
+
+Tiers = tuple[list[Candidate], ...]
+
+
+def _entry(state: HostState) -> LookupEntry:
+    ticket = Ticket(state.name, state.incarnation, state.epoch)
+    return LookupEntry(state.name, state.http_address, str(ticket))
+
 
-    def rank(state: HostState) -> tuple:
-        is_home = region is not None and (
-            intent.region_of(state.domain) == region
-        )
-        room = dict(state.rooms).get(service, 0)
-        draw = rng.random() ** (1.0 / (1 + room))
-        return (not is_home, state.domain not in domains, -draw)
-
-    ranked = sorted(ready, key=rank)[:HOSTS_PER_ANSWER]
-    entries = tuple(
-        LookupEntry(
-            s.name,
-            s.http_address,
-            str(Ticket(s.name, s.incarnation, s.epoch)),
-        )
-        for s in ranked
-    )
-    ttl = TTL_S * (1 - TTL_JITTER * rng.random())
-    return LookupAnswer(entries, ttl)
+def _draw(
+    tier: list[Candidate], count: int, rng: random.Random
+) -> list[LookupEntry]:
+    """Draws hosts of one rank without replacement, weighted by room."""
+    if len(tier) > MAX_CANDIDATES:
+        tier = rng.sample(tier, MAX_CANDIDATES)
+    drawn = [(rng.random() ** c.exponent, c.entry) for c in tier]
+    drawn.sort(reverse=True)
+    return [entry for _, entry in drawn[:count]]
