--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 HOUSE ?= vallejo
 PACKAGES := core entry cli testing
 
-.PHONY: setup test lint format demo clean
+.PHONY: setup test lint format demo clean slopes
 
 setup: $(VENV)/.installed
 
@@ -28,3 +28,6 @@
 
 clean:
 	rm -rf $(VENV)
+
+slopes: setup
+	$(BIN)/python -m sardinewheel_testing.slopes
--- /dev/null
+++ b/packages/testing/sardinewheel_testing/slopes/__main__.py
@@ -0,0 +1,39 @@
+"""``make slopes``: measures the slopes and prints them as a table."""
+
+import json
+from pathlib import Path
+
+from sardinewheel_testing.slopes.measure import all_slopes
+
+OUTPUT = Path("build/slopes.json")
+
+
+def main() -> None:
+    """Measures, prints, and writes JSON."""
+    print(f"{'what':34} {'slope':>12} {'intercept':>12} {'fit':>6}  samples")
+    rows = []
+    for found in all_slopes():
+        samples = "  ".join(f"{s.size:g}:{s.cost:.4g}" for s in found.samples)
+        line = found.line
+        print(
+            f"{found.name:34} {line.slope:12.4g} {line.intercept:12.4g}"
+            f" {line.r_squared:6.3f}  {samples}  ({found.unit} a {found.per})",
+            flush=True,
+        )
+        rows.append(
+            {
+                "name": found.name,
+                "unit": found.unit,
+                "per": found.per,
+                "slope": line.slope,
+                "intercept": line.intercept,
+                "r_squared": line.r_squared,
+                "samples": [list(s) for s in found.samples],
+            }
+        )
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    OUTPUT.write_text(json.dumps(rows, indent=1), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
