--- /dev/null
+++ b/packages/core/sardinewheel_core/claims.py
@@ -0,0 +1,192 @@
+"""Claims: ids without a ticket, owned by the host that inserts their row.
+
+Before such an id is dispatched, a row that names this incarnation is inserted
+in the platform's table, many ids in one transaction. A lost answer is settled
+by running the same transaction again: it either commits or shows the rows,
+and a row with its change id is this host's own.
+"""
+
+import json
+from typing import TYPE_CHECKING, NamedTuple
+
+from sardinewheel_core import pipeline
+from sardinewheel_core.codec import from_plain, to_plain
+from sardinewheel_core.effects import Transact, TransactionEnded
+from sardinewheel_core.errors import MessageError
+from sardinewheel_core.exchange import Exchange, Stage
+from sardinewheel_core.request import Answer, Outcome, Reason, Refusal
+from sardinewheel_core.ticket import Owner
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+CLAIMS_PER_TRANSACTION = 64
+RETRY_S = 0.5
+
+
+class ClaimRow(NamedTuple):
+    """Value of the row of a claimed id.
+
+    Attributes:
+        host: Seat of the owner.
+        incarnation: Incarnation of the owner.
+        change_id: Transaction that inserted the row.
+    """
+
+    host: str
+    incarnation: int
+    change_id: str
+
+    @property
+    def owner(self) -> Owner:
+        """The only incarnation that may execute the id."""
+        return Owner(self.host, self.incarnation)
+
+
+class ClaimQueue:
+    """Exchanges whose ids are being claimed.
+
+    Attributes:
+        waiting: Exchanges that no transaction carries yet.
+        batch: Exchanges of the transaction under way.
+        call_id: The transaction under way, or 0.
+        change_id: Its change id; kept until its outcome is known.
+        retry_at: When an unanswered transaction is run again.
+    """
+
+    def __init__(self):
+        self.waiting: list[Exchange] = []
+        self.batch: list[Exchange] = []
+        self.call_id = 0
+        self.change_id = ""
+        self.retry_at = 0.0
+
+    @property
+    def is_unsettled(self) -> bool:
+        """Whether the platform left the latest transaction unanswered."""
+        return bool(self.change_id) and not self.call_id
+
+
+def claim_key(request_id: str) -> str:
+    """Returns the key of the row of an id."""
+    return f"claim/{request_id}"
+
+
+def decode_row(text: str) -> ClaimRow | None:
+    """Returns the value of a row, or nothing when it is malformed."""
+    try:
+        return from_plain(json.loads(text), ClaimRow)
+    except (MessageError, ValueError):
+        return None
+
+
+def add(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    """Claims the id of an exchange, or ends it while the platform is away."""
+    exchange.stage = Stage.CLAIMING
+    if host.claims.is_unsettled:
+        _give_up(host, now, exchange)
+        return
+    host.claims.waiting.append(exchange)
+    _flush(host)
+
+
+def on_transaction(
+    host: "EntryHost", now: float, event: TransactionEnded
+) -> None:
+    """Learns how the transaction under way ended."""
+    queue = host.claims
+    if event.call_id != queue.call_id:
+        return
+    queue.call_id = 0
+    if event.failed:
+        queue.retry_at = now + RETRY_S
+        waiting, queue.waiting = queue.waiting, []
+        for exchange in waiting:
+            _give_up(host, now, exchange)
+        return
+    batch, queue.batch = queue.batch, []
+    change_id, queue.change_id = queue.change_id, ""
+    rows = {key: decode_row(value) for key, n, value in event.rows if n}
+    for exchange in batch:
+        _settle(host, now, exchange, event.committed, rows, change_id)
+    _flush(host)
+
+
+def on_tick(host: "EntryHost", now: float) -> None:
+    """Runs an unanswered transaction again; ends what is too late."""
+    queue = host.claims
+    if queue.is_unsettled and now >= queue.retry_at:
+        _transact(host)
+    for exchange in queue.waiting + queue.batch:
+        if exchange.request.deadline <= now:
+            _give_up(host, now, exchange)
+    queue.waiting = [e for e in queue.waiting if e.stage is Stage.CLAIMING]
+
+
+def _flush(host: "EntryHost") -> None:
+    queue = host.claims
+    if queue.change_id or not queue.waiting:
+        return
+    queue.batch = queue.waiting[:CLAIMS_PER_TRANSACTION]
+    queue.waiting = queue.waiting[CLAIMS_PER_TRANSACTION:]
+    name, incarnation = host.owner
+    queue.change_id = f"claim-{name}-{incarnation:x}-{host.next_id()}"
+    _transact(host)
+
+
+def _transact(host: "EntryHost") -> None:
+    queue = host.claims
+    queue.call_id = host.next_id()
+    value = json.dumps(to_plain(ClaimRow(*host.owner, queue.change_id)))
+    keys = [claim_key(exchange.request.id) for exchange in queue.batch]
+    host.emit(
+        Transact(
+            queue.call_id,
+            queue.change_id,
+            checks=tuple((key, 0) for key in keys),
+            writes=tuple((key, value) for key in keys),
+        )
+    )
+
+
+def _settle(
+    host: "EntryHost",
+    now: float,
+    exchange: Exchange,
+    committed: bool,
+    rows: dict[str, ClaimRow | None],
+    change_id: str,
+) -> None:
+    if exchange.stage is not Stage.CLAIMING:
+        return
+    key = claim_key(exchange.request.id)
+    if committed:
+        pipeline.execute(host, now, exchange)
+    elif key not in rows:
+        host.claims.waiting.append(exchange)
+    elif rows[key] is None:
+        _end(host, now, exchange, Reason.PLATFORM_AWAY)
+    elif rows[key].change_id == change_id:
+        pipeline.execute(host, now, exchange)
+    elif rows[key].owner == host.owner:
+        # Its record is no longer in the book.
+        _end(host, now, exchange, Reason.TICKET_EXPIRED)
+    else:
+        host.book.forget(exchange.request.id)
+        pipeline.hand_to_owner(host, now, exchange, rows[key].owner)
+
+
+def _give_up(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    if not exchange.request.is_first:
+        _end(host, now, exchange, Reason.PLATFORM_AWAY)
+        return
+    refusal = Refusal(Reason.PLATFORM_AWAY, RETRY_S * (1 + host.rng.random()))
+    answer = Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
+    pipeline.finish(host, now, exchange, answer)
+
+
+def _end(
+    host: "EntryHost", now: float, exchange: Exchange, reason: Reason
+) -> None:
+    answer = Answer(exchange.request.id, Outcome.UNKNOWN, reason=reason)
+    pipeline.finish(host, now, exchange, answer)
--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import dispatching, rollout, stopping
+from sardinewheel_core import dispatching, handover, rollout, stopping
 from sardinewheel_core.effects import (
     HostListRead,
     LoadRead,
@@ -10,7 +10,13 @@
     Send,
 )
 from sardinewheel_core.filters.admission import room_for
-from sardinewheel_core.messages import ChangesSent, ChangesWanted, Heartbeat
+from sardinewheel_core.messages import (
+    ChangesSent,
+    ChangesWanted,
+    Heartbeat,
+    OutcomesHandedOn,
+    OutcomesTaken,
+)
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -19,6 +25,8 @@
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
+    host.delegations.advance(now)
+    handover.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -32,11 +40,17 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
+            host.is_superseded |= host.membership.is_superseded(states)
+            handover.learn_successors(host, states)
             rollout.ask_for_changes(host, states)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
             rollout.take_changes(host, now, changes, "peer")
+        case OutcomesHandedOn() as message:
+            handover.on_handed_on(host, now, event.sender, message)
+        case OutcomesTaken() as message:
+            handover.on_taken(host, now, message)
 
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
--- a/packages/core/sardinewheel_core/effects.py
+++ b/packages/core/sardinewheel_core/effects.py
@@ -157,13 +157,16 @@
         attempt_id: Id to report the end under.
         request: Request to send.
         target: Target to send it to.
-        fresh_connection: Whether an idle pooled connection must not be used.
+        arrival_id: Arrival that brought the body.
+        max_idle_s: Seconds since its latest response that a connection may
+            have been idle; 0 asks for a new one.
     """
 
     attempt_id: int
     request: Request
     target: Target
-    fresh_connection: bool
+    arrival_id: int
+    max_idle_s: float
 
 
 class Forward(NamedTuple):
@@ -175,6 +178,8 @@
         host: Name of the entry host.
         address: ``host:port`` of its HTTP interface.
         reason: Why it is handed on.
+        arrival_id: Arrival that brought the body.
+        max_idle_s: As for :class:`Dispatch`.
     """
 
     attempt_id: int
@@ -182,6 +187,8 @@
     host: str
     address: str
     reason: Reason
+    arrival_id: int
+    max_idle_s: float
 
 
 class CancelAttempt(NamedTuple):
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -1,12 +1,12 @@
 """A request while this host works on it."""
 
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sardinewheel_core.intent import Kind
+from sardinewheel_core.outcomes import OutcomeBook
 from sardinewheel_core.request import Request
 from sardinewheel_core.targets import TargetState
-from sardinewheel_core.ticket import Ticket
 
 if TYPE_CHECKING:
     from sardinewheel_core.occupancy import Occupancy
@@ -16,21 +16,47 @@
     """Where an exchange stands."""
 
     ARRIVED = "arrived"
+    CLAIMING = "claiming"
+    PARKED = "parked"
     WAITING = "waiting"
     DISPATCHED = "dispatched"
     FORWARDED = "forwarded"
     ENDED = "ended"
 
 
+class JoinedArrival(NamedTuple):
+    """A retry that waits for the answer to an id in progress.
+
+    Attributes:
+        arrival_id: Arrival to answer.
+        deadline: Instant by which its caller wants an answer.
+    """
+
+    arrival_id: int
+    deadline: float
+
+
+class HeldRoom(NamedTuple):
+    """Room of an attempt that was lost and may still be running.
+
+    Attributes:
+        occupancy: What it occupies.
+        until: Deadline of the request.
+    """
+
+    occupancy: "Occupancy"
+    until: float
+
+
 class Exchange:
     """A request with what this host decided about it so far.
 
     Attributes:
-        arrival_ids: Arrivals that wait for the answer; a retry of an id in
-            progress joins the first.
+        arrival_id: Arrival that began it.
+        joined: Retries that wait for the same answer.
         request: The request.
         kind: Its kind, once identified.
-        ticket: The ticket in its id, when this host owns it.
+        book: Book that its outcome belongs in, when this host owns its id.
         region: Region that is to execute it, once placed.
         stage: Where it stands.
         attempt_id: Attempt under way, or 0.
@@ -41,13 +67,15 @@
         attempts: Attempts made so far.
         dispatched_at: When the attempt under way began.
         forwarded_to: Host of the latest hand-on.
+        was_lost: Whether an attempt was lost.
     """
 
     def __init__(self, arrival_id: int, request: Request):
-        self.arrival_ids = [arrival_id]
+        self.arrival_id = arrival_id
+        self.joined: list[JoinedArrival] = []
         self.request = request
         self.kind: Kind | None = None
-        self.ticket: Ticket | None = None
+        self.book: OutcomeBook | None = None
         self.region: str | None = None
         self.stage = Stage.ARRIVED
         self.attempt_id = 0
@@ -58,6 +86,12 @@
         self.attempts = 0
         self.dispatched_at = 0.0
         self.forwarded_to = ""
+        self.was_lost = False
+
+    @property
+    def is_owned(self) -> bool:
+        """Whether this host decides whether its id runs."""
+        return self.book is not None
 
     @property
     def priority(self) -> int:
--- a/packages/core/sardinewheel_core/filters/deadline.py
+++ b/packages/core/sardinewheel_core/filters/deadline.py
@@ -4,10 +4,9 @@
 
 from sardinewheel_core.allowance import LONGEST_REQUEST_S
 from sardinewheel_core.exchange import Exchange
-from sardinewheel_core.filters.refusals import refuse, unknown
+from sardinewheel_core.filters.refusals import refuse
 from sardinewheel_core.filters.verdict import Continue, Verdict
 from sardinewheel_core.request import Reason
-from sardinewheel_core.ticket import Ticket
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -21,15 +20,4 @@
         exchange.request = request._replace(deadline=latest)
     if request.deadline > now:
         return Continue()
-    if _is_owned_elsewhere(host, exchange):
-        return unknown(exchange, Reason.DEADLINE)
     return refuse(host, now, exchange, Reason.DEADLINE)
-
-
-def _is_owned_elsewhere(host: "EntryHost", exchange: Exchange) -> bool:
-    request = exchange.request
-    if request.repeatable or request.delegated:
-        return False
-    ticket = Ticket.of_request(request.id)
-    own = (host.identity.name, host.identity.incarnation)
-    return ticket is not None and (ticket.host, ticket.incarnation) != own
--- a/packages/core/sardinewheel_core/filters/verdict.py
+++ b/packages/core/sardinewheel_core/filters/verdict.py
@@ -21,6 +21,20 @@
     instead_of: Exchange | None = None
 
 
+class Claim(NamedTuple):
+    """The exchange waits until its id is claimed in the platform's table."""
+
+
+class Park(NamedTuple):
+    """The exchange waits until a successor has taken this host's records."""
+
+
+class Join(NamedTuple):
+    """The exchange gets the answer of another one of the same id."""
+
+    exchange: Exchange
+
+
 class Finish(NamedTuple):
     """The exchange has its final answer."""
 
@@ -34,4 +48,4 @@
     reason: Reason
 
 
-Verdict = Continue | Wait | Finish | Delegate
+Verdict = Continue | Wait | Claim | Park | Join | Finish | Delegate
--- /dev/null
+++ b/packages/core/sardinewheel_core/handover.py
@@ -0,0 +1,300 @@
+"""How a host that leaves makes another one answer for its request ids.
+
+The leaving host closes its books, sends every record to a successor, and
+repeats each part until it is confirmed. From then on the successor decides
+about ids that no record names. Ids that were in progress stay with the
+leaving host; their ends follow as a second, final set of parts.
+
+The records are addressed to one incarnation of the successor: a process that
+replaces it could not know which ids its predecessor has run since.
+"""
+
+from typing import TYPE_CHECKING
+
+from sardinewheel_core import pipeline
+from sardinewheel_core.effects import Send
+from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.messages import (
+    HostState,
+    OutcomeRecord,
+    OutcomesHandedOn,
+    OutcomesTaken,
+)
+from sardinewheel_core.outcomes import TICKET_EPOCHS, OutcomeBook, Record
+from sardinewheel_core.request import Outcome, Reason
+from sardinewheel_core.ticket import Owner, Ticket
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+RECORDS_PER_PART = 500
+RESEND_S = 0.2
+TIMEOUT_S = 5.0
+MAX_SUCCESSORS = 1000
+
+PartKey = tuple[Owner, int, bool]
+
+
+class HandoverState:
+    """Records taken from hosts that left, and given when leaving.
+
+    Attributes:
+        taken: Books of incarnations that this host answers for.
+        parts: Parts that arrived of sets that are not complete.
+        finals: Sets of final records that were taken in.
+        successors: Who answers for incarnations that left, as far as heard.
+        successor: Host that takes this one's records, or empty.
+        unconfirmed: Parts sent and not confirmed.
+        is_confirmed: Whether the successor answers for this incarnation.
+        is_final_sent: Whether the final set was sent.
+        resend_at: When unconfirmed parts are sent again.
+        give_up_at: When this host no longer waits for confirmation.
+        pending: Ids that were in progress when the books were closed.
+        parked: Exchanges that wait for the confirmation.
+    """
+
+    def __init__(self):
+        self.taken: dict[Owner, OutcomeBook] = {}
+        self.parts: dict[tuple[Owner, bool], dict[int, OutcomesHandedOn]] = {}
+        self.finals: set[Owner] = set()
+        self.successors: dict[Owner, str] = {}
+        self.successor = ""
+        self.unconfirmed: dict[PartKey, OutcomesHandedOn] = {}
+        self.is_confirmed = False
+        self.is_final_sent = False
+        self.resend_at = 0.0
+        self.give_up_at = 0.0
+        self.pending: dict[Owner, list[str]] = {}
+        self.parked: list[Exchange] = []
+
+    def book_of(self, host: "EntryHost", owner: Owner) -> OutcomeBook | None:
+        """Returns the book that decides about an owner's ids, if it is here."""
+        return host.book if owner == host.owner else self.taken.get(owner)
+
+
+def begin(host: "EntryHost", now: float) -> None:
+    """Closes the books and sends them to a successor, if there is one."""
+    state = _choose_successor(host, now)
+    if state is None or host.handover.successor:
+        return
+    handover = host.handover
+    handover.successor = state.name
+    handover.give_up_at = now + TIMEOUT_S
+    for owner, book in _books(host).items():
+        book.is_closed = True
+        handover.pending[owner] = [
+            request_id
+            for request_id, record in book.records.items()
+            if record.outcome is Outcome.PENDING
+        ]
+        records = _encode(book, list(book.records))
+        _queue(host, owner, book.epoch, records, state, is_final=False)
+    _send_unconfirmed(host, now)
+
+
+def on_handed_on(
+    host: "EntryHost", now: float, sender: str, message: OutcomesHandedOn
+) -> None:
+    """Takes in a part, confirms it, and takes over with the last one."""
+    if message.receiver != host.identity.incarnation:
+        return
+    owner = Owner(message.name, message.incarnation)
+    if not _is_taken(host, owner, message.is_final):
+        key = (owner, message.is_final)
+        parts = host.handover.parts.setdefault(key, {})
+        parts[message.part] = message
+        if len(parts) == message.parts:
+            _take(host, now, owner, message)
+            del host.handover.parts[key]
+    taken = OutcomesTaken(*owner, message.part, message.is_final)
+    state = host.membership.states.get(sender)
+    if state is not None:
+        host.emit(Send(sender, state.peer_address, taken))
+
+
+def on_taken(host: "EntryHost", now: float, message: OutcomesTaken) -> None:
+    """Learns that the successor has a part."""
+    handover = host.handover
+    owner = Owner(message.name, message.incarnation)
+    handover.unconfirmed.pop((owner, message.part, message.is_final), None)
+    if handover.successor and not handover.is_confirmed:
+        handover.is_confirmed = not handover.unconfirmed
+        if handover.is_confirmed:
+            _announce(host, now)
+
+
+def on_tick(host: "EntryHost", now: float) -> None:
+    """Repeats unconfirmed parts and sends the final set."""
+    handover = host.handover
+    _advance_taken(host, now)
+    if not handover.successor:
+        return
+    if handover.is_confirmed and not handover.is_final_sent and not host.owned:
+        _send_final(host, now)
+    elif handover.unconfirmed and now >= handover.resend_at:
+        _send_unconfirmed(host, now)
+    _end_parked(host, now)
+
+
+def is_finished(host: "EntryHost", now: float) -> bool:
+    """Says whether the process may exit as far as its records go."""
+    handover = host.handover
+    if not handover.successor or now >= handover.give_up_at:
+        return True
+    return handover.is_final_sent and not handover.unconfirmed
+
+
+def learn_successors(host: "EntryHost", states: tuple[HostState, ...]) -> None:
+    """Remembers who answers for incarnations that are leaving."""
+    successors = host.handover.successors
+    for state in states:
+        if state.successor:
+            owner = Owner(state.name, state.incarnation)
+            successors[owner] = state.successor
+        for name, incarnation in state.answers_for:
+            successors[Owner(name, incarnation)] = state.name
+    while len(successors) > MAX_SUCCESSORS:
+        del successors[next(iter(successors))]
+
+
+def _choose_successor(host: "EntryHost", now: float) -> HostState | None:
+    intent = host.configuration.intent
+    own = host.identity
+
+    def rank(state: HostState) -> tuple:
+        return (
+            state.domain != own.domain,
+            intent.region_of(state.domain) != host.region,
+            state.name,
+        )
+
+    ready = [s for s in host.membership.ready(now) if s.name != own.name]
+    return min(ready, key=rank, default=None)
+
+
+def _books(host: "EntryHost") -> dict[Owner, OutcomeBook]:
+    return {host.owner: host.book, **host.handover.taken}
+
+
+def _encode(book: OutcomeBook, ids: list[str]) -> list[OutcomeRecord]:
+    return [
+        OutcomeRecord(i, str(r.outcome), r.status, str(r.reason))
+        for i in ids
+        if (r := book.find(i)) is not None
+    ]
+
+
+def _queue(
+    host: "EntryHost",
+    owner: Owner,
+    epoch: int,
+    records: list[OutcomeRecord],
+    receiver: HostState,
+    *,
+    is_final: bool,
+) -> None:
+    parts = max(1, -(-len(records) // RECORDS_PER_PART))
+    for part in range(parts):
+        first = part * RECORDS_PER_PART
+        host.handover.unconfirmed[owner, part, is_final] = OutcomesHandedOn(
+            *owner,
+            epoch,
+            part,
+            parts,
+            tuple(records[first : first + RECORDS_PER_PART]),
+            receiver.incarnation,
+            is_final,
+        )
+
+
+def _send_unconfirmed(host: "EntryHost", now: float) -> None:
+    handover = host.handover
+    handover.resend_at = now + RESEND_S
+    state = host.membership.states[handover.successor]
+    for message in handover.unconfirmed.values():
+        host.emit(Send(state.name, state.peer_address, message))
+
+
+def _send_final(host: "EntryHost", now: float) -> None:
+    handover = host.handover
+    handover.is_final_sent = True
+    handover.give_up_at = now + TIMEOUT_S
+    state = host.membership.states[handover.successor]
+    for owner, book in _books(host).items():
+        if handover.pending.get(owner):
+            records = _encode(book, handover.pending[owner])
+            _queue(host, owner, book.epoch, records, state, is_final=True)
+    _send_unconfirmed(host, now)
+
+
+def _is_taken(host: "EntryHost", owner: Owner, is_final: bool) -> bool:
+    known = host.handover.finals if is_final else host.handover.taken
+    return owner in known
+
+
+def _take(
+    host: "EntryHost", now: float, owner: Owner, message: OutcomesHandedOn
+) -> None:
+    parts = host.handover.parts[owner, message.is_final].values()
+    records = {
+        r.request_id: _decode(r, message.epoch)
+        for p in parts
+        for r in p.records
+    }
+    if message.is_final:
+        host.handover.finals.add(owner)
+        book = host.handover.taken.get(owner)
+        if book is not None:
+            book.records.update(records)
+    else:
+        book = OutcomeBook.from_records(now, message.epoch, records)
+        host.handover.taken[owner] = book
+    host.report(
+        now,
+        "outcomes-taken",
+        name=owner.host,
+        incarnation=owner.incarnation,
+        records=len(records),
+    )
+
+
+def _advance_taken(host: "EntryHost", now: float) -> None:
+    """Drops books whose ids are all too old, and says which remain."""
+    taken = host.handover.taken
+    for owner, book in list(taken.items()):
+        book.advance(now)
+        if not book.is_closed and book.epoch > book.first_epoch + TICKET_EPOCHS:
+            del taken[owner]
+    membership = host.membership
+    membership.own = membership.own._replace(answers_for=tuple(taken))
+
+
+def _decode(record: OutcomeRecord, epoch: int) -> Record:
+    ticket = Ticket.of_request(record.request_id)
+    return Record(
+        Outcome(record.outcome),
+        ticket.epoch if ticket else epoch,
+        status=record.status,
+        reason=Reason(record.reason),
+    )
+
+
+def _announce(host: "EntryHost", now: float) -> None:
+    """Tells everyone who answers now, and hands parked exchanges on."""
+    membership = host.membership
+    membership.own = membership.own._replace(successor=host.handover.successor)
+    for peer, heartbeat in membership.announce():
+        host.emit(Send(peer.host, peer.address, heartbeat))
+    host.report(now, "outcomes-handed-on", successor=host.handover.successor)
+    parked, host.handover.parked = host.handover.parked, []
+    for exchange in parked:
+        pipeline.arrive(host, now, exchange)
+
+
+def _end_parked(host: "EntryHost", now: float) -> None:
+    handover = host.handover
+    for exchange in list(handover.parked):
+        is_late = now >= min(exchange.request.deadline, handover.give_up_at)
+        if is_late:
+            handover.parked.remove(exchange)
+            pipeline.end_unknown(host, now, exchange, Reason.OWNER_UNREACHABLE)
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -9,9 +9,10 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from sardinewheel_core import control, pipeline, rollout, stopping
+from sardinewheel_core import claims, control, pipeline, rollout, stopping
 from sardinewheel_core.allowance import Allowance
 from sardinewheel_core.blocks import BlockTable
+from sardinewheel_core.claims import ClaimQueue
 from sardinewheel_core.configuration import Configuration
 from sardinewheel_core.decisions import Decision, DecisionLog
 from sardinewheel_core.effects import (
@@ -30,14 +31,18 @@
     Ticked,
     TransactionEnded,
 )
-from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.exchange import Exchange, HeldRoom
+from sardinewheel_core.filters import at_most_once
+from sardinewheel_core.handover import HandoverState
 from sardinewheel_core.intent import Block, Intent
 from sardinewheel_core.lookup import LookupAnswer, LookupIndex
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
-from sardinewheel_core.outcomes import OutcomeBook
+from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
 from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.request import Answer
 from sardinewheel_core.targets import TargetPool
+from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
 
 
 class Identity(NamedTuple):
@@ -72,6 +77,11 @@
         targets: Targets that it dispatches to.
         lines: Waiting requests, by service.
         exchanges: Requests under way, by attempt id.
+        owned: Owned requests in progress, by request id.
+        held: Room of lost attempts.
+        claims: Ids without a ticket, on their way to the platform's table.
+        handover: Records taken from hosts that left, and given when leaving.
+        is_superseded: Whether a newer incarnation occupies this seat.
         decisions: Latest decisions, to explain them.
         effects: Effects of the event being handled.
     """
@@ -89,6 +99,12 @@
         self.lines: dict[str, WaitingLine] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.in_progress: dict[str, Exchange] = {}
+        self.owned: dict[str, Exchange] = {}
+        self.held: list[HeldRoom] = []
+        self.delegations = AttemptLog()
+        self.claims = ClaimQueue()
+        self.handover = HandoverState()
+        self.is_superseded = False
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
         self.rollout = rollout.RolloutState(now=now)
@@ -121,6 +137,7 @@
                 rollout.on_rows(self, now, event)
             case TransactionEnded():
                 rollout.on_transaction(self, now, event)
+                claims.on_transaction(self, now, event)
             case ChangeProposed():
                 rollout.on_proposal(self, now, event)
             case HostListRead():
@@ -149,6 +166,33 @@
             rng=self.rng,
         )
 
+    def confirm(self, now: float, attempt_id: int) -> bool:
+        """Says whether an attempt may still leave; asked right before it does.
+
+        Args:
+            now: Time on the monotonic clock, in seconds.
+            attempt_id: Attempt whose first byte is about to leave.
+        """
+        return pipeline.may_leave(self, now, attempt_id)
+
+    def find_outcome(self, now: float, request_id: str) -> Answer | HostState:
+        """Returns what became of an id, or the host to ask."""
+        return at_most_once.find_outcome(self, now, request_id)
+
+    def live_owner(self, now: float, owner: Owner) -> HostState | None:
+        """Returns the live host that decides about an owner's ids."""
+        return at_most_once.live_owner(self, now, owner)
+
+    def new_request_id(self, suffix: str) -> str:
+        """Returns an id that this host owns, with a unique suffix."""
+        ticket = Ticket(*self.owner, self.book.epoch)
+        return f"{ticket}{SEPARATOR}{suffix}"
+
+    @property
+    def owner(self) -> Owner:
+        """This incarnation, as the owner of ids."""
+        return Owner(self.identity.name, self.identity.incarnation)
+
     @property
     def region(self) -> str | None:
         """Region in which this host stands, as far as it is configured."""
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -37,6 +37,8 @@
         epoch: Ticket epoch of the host.
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
+        answers_for: Pairs of seat name and incarnation of the stopped hosts
+            for whose request ids this host answers.
     """
 
     name: str
@@ -50,6 +52,7 @@
     epoch: int
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
+    answers_for: tuple[tuple[str, int], ...] = ()
 
 
 class Heartbeat(NamedTuple):
@@ -120,6 +123,9 @@
         part: Index of this part, from 0.
         parts: Number of parts; the receiver takes over with the last one.
         records: Outcomes in this part.
+        receiver: Incarnation that is to take them; any other one ignores them.
+        is_final: Whether they are the ends of ids that were in progress when
+            the receiver took over.
     """
 
     name: str
@@ -128,6 +134,8 @@
     part: int
     parts: int
     records: tuple[OutcomeRecord, ...]
+    receiver: int = 0
+    is_final: bool = False
 
 
 class OutcomesTaken(NamedTuple):
@@ -136,6 +144,7 @@
     name: str
     incarnation: int
     part: int
+    is_final: bool = False
 
 
 Message = (
--- a/packages/core/sardinewheel_core/outcomes.py
+++ b/packages/core/sardinewheel_core/outcomes.py
@@ -14,6 +14,7 @@
 EPOCH_S = 30.0
 TICKET_EPOCHS = 4
 MAX_RECORDS = 200_000
+ATTEMPT_KEPT_S = EPOCH_S * (TICKET_EPOCHS + 1)
 
 
 class Record(NamedTuple):
@@ -25,6 +26,7 @@
         status: HTTP status of the target's response, when done.
         reason: Why it was refused or is unknown.
         attempt_id: Attempt whose response the driver may still hold.
+        fingerprint: Digest of the request.
     """
 
     outcome: Outcome
@@ -32,6 +34,7 @@
     status: int = 0
     reason: Reason = Reason.NONE
     attempt_id: int = 0
+    fingerprint: str = ""
 
 
 class OutcomeBook:
@@ -39,16 +42,39 @@
 
     Attributes:
         epoch: Current ticket epoch of this incarnation.
+        first_epoch: Epoch at which this host began to keep the book.
         records: Records by request id.
+        is_closed: Whether a successor decides about ids that are not in it.
     """
 
     def __init__(self, *, started_at: float, max_records: int = MAX_RECORDS):
         self.started_at = started_at
         self.max_records = max_records
         self.epoch = 0
+        self.first_epoch = 0
         self.records: dict[str, Record] = {}
+        self.is_closed = False
         self._ids_by_epoch: dict[int, list[str]] = {}
 
+    @classmethod
+    def from_records(
+        cls, now: float, epoch: int, records: dict[str, Record]
+    ) -> "OutcomeBook":
+        """Returns the book of another incarnation, counted on from here.
+
+        Args:
+            now: Time on the local monotonic clock, in seconds.
+            epoch: Epoch that the other incarnation had reached.
+            records: Its records.
+        """
+        book = cls(started_at=now - epoch * EPOCH_S)
+        book.epoch = epoch
+        book.first_epoch = epoch
+        for request_id, record in records.items():
+            book.records[request_id] = record
+            book._ids_by_epoch.setdefault(record.epoch, []).append(request_id)
+        return book
+
     def advance(self, now: float) -> None:
         """Moves to the epoch of an instant and drops expired records."""
         self.epoch = int((now - self.started_at) / EPOCH_S)
@@ -70,9 +96,13 @@
         """Returns the record of an id."""
         return self.records.get(request_id)
 
-    def begin(self, request_id: str, epoch: int) -> None:
+    def begin(
+        self, request_id: str, epoch: int, *, fingerprint: str = ""
+    ) -> None:
         """Records that an id is in progress."""
-        self.records[request_id] = Record(Outcome.PENDING, epoch)
+        self.records[request_id] = Record(
+            Outcome.PENDING, epoch, fingerprint=fingerprint
+        )
         self._ids_by_epoch.setdefault(epoch, []).append(request_id)
 
     def finish(
@@ -84,8 +114,44 @@
         reason: Reason = Reason.NONE,
         attempt_id: int = 0,
     ) -> None:
-        """Records the final outcome of an id that was begun."""
-        record = self.records[request_id]
+        """Records the final outcome of an id that was begun.
+
+        An id whose record has expired stays without one: its epoch is no
+        longer accepted.
+        """
+        record = self.records.get(request_id)
+        if record is None:
+            return
         self.records[request_id] = record._replace(
             outcome=outcome, status=status, reason=reason, attempt_id=attempt_id
         )
+
+    def forget(self, request_id: str) -> None:
+        """Drops an id that turned out to be another host's."""
+        self.records.pop(request_id, None)
+
+
+class AttemptLog:
+    """Delegated attempts that arrived lately, to refuse copies of them.
+
+    Attributes:
+        seen_at: When each attempt arrived, oldest first.
+    """
+
+    def __init__(self):
+        self.seen_at: dict[str, float] = {}
+
+    def add(self, now: float, attempt: str) -> bool:
+        """Adds an attempt; says whether it is new."""
+        if attempt in self.seen_at:
+            return False
+        self.seen_at[attempt] = now
+        return True
+
+    def advance(self, now: float) -> None:
+        """Drops attempts that are too old for a copy to arrive."""
+        while self.seen_at:
+            attempt = next(iter(self.seen_at))
+            if now - self.seen_at[attempt] < ATTEMPT_KEPT_S:
+                return
+            del self.seen_at[attempt]
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import occupancy
+from sardinewheel_core import claims, occupancy
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -17,7 +17,12 @@
     Reply,
     RequestArrived,
 )
-from sardinewheel_core.exchange import Exchange, Stage
+from sardinewheel_core.exchange import (
+    Exchange,
+    HeldRoom,
+    JoinedArrival,
+    Stage,
+)
 from sardinewheel_core.filters import (
     admission,
     at_most_once,
@@ -27,13 +32,17 @@
 )
 from sardinewheel_core.filters.refusals import refuse
 from sardinewheel_core.filters.verdict import (
+    Claim,
     Continue,
     Delegate,
     Finish,
+    Join,
+    Park,
     Verdict,
     Wait,
 )
 from sardinewheel_core.request import Answer, Outcome, Reason, Refusal
+from sardinewheel_core.ticket import SEPARATOR, Owner
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -51,14 +60,57 @@
     admission.apply,
 )
 MAX_ATTEMPTS = 4
+MAX_IDLE_S = 5.0
+ANSWERED_WITHIN_S = 1.0
+LEAVE_WITHIN_S = 1.5
 
 
 def on_request(host: "EntryHost", now: float, event: RequestArrived) -> None:
     """Takes a request through the filters."""
-    exchange = Exchange(event.arrival_id, event.request)
+    arrive(host, now, Exchange(event.arrival_id, event.request))
+
+
+def arrive(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    """Takes an exchange through all filters."""
     _run(host, now, exchange, ARRIVAL_FILTERS + EXECUTION_FILTERS)
 
 
+def execute(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    """Takes an exchange whose id may run here through the other filters."""
+    exchange.stage = Stage.ARRIVED
+    _run(host, now, exchange, EXECUTION_FILTERS)
+
+
+def hand_to_owner(
+    host: "EntryHost", now: float, exchange: Exchange, owner: Owner
+) -> None:
+    """Hands an exchange on to the host that claimed its id."""
+    exchange.book = None
+    host.owned.pop(exchange.request.id, None)
+    match at_most_once.to_owner(host, now, exchange, owner):
+        case Delegate(state, reason):
+            _forward(host, now, exchange, state, reason)
+        case Finish(answer):
+            finish(host, now, exchange, answer)
+
+
+def end_unknown(
+    host: "EntryHost", now: float, exchange: Exchange, reason: Reason
+) -> None:
+    """Answers that nobody can say whether an exchange ran."""
+    answer = Answer(exchange.request.id, Outcome.UNKNOWN, reason=reason)
+    finish(host, now, exchange, answer)
+
+
+def may_leave(host: "EntryHost", now: float, attempt_id: int) -> bool:
+    """Says whether the first byte of an attempt may leave now."""
+    exchange = host.exchanges.get(attempt_id)
+    if exchange is None or host.is_superseded:
+        return False
+    was_paused = now - exchange.dispatched_at > LEAVE_WITHIN_S
+    return not was_paused and now < exchange.request.deadline
+
+
 def on_attempt_ended(
     host: "EntryHost", now: float, event: AttemptEnded
 ) -> None:
@@ -67,18 +119,16 @@
     if exchange is None:
         return
     result = event.result
+    exchange.was_lost |= result.ending is Ending.LOST
     _release(host, now, exchange, result)
     if result.ending is Ending.ANSWERED:
-        _finish(host, now, exchange, _done(exchange, event.attempt_id, result))
+        finish(host, now, exchange, _done(exchange, event.attempt_id, result))
     elif _may_try_again(exchange, result) and _spend_retry(host, exchange):
         _run(host, now, exchange, EXECUTION_FILTERS)
-    elif result.ending is Ending.LOST:
-        answer = Answer(
-            exchange.request.id, Outcome.UNKNOWN, reason=result.reason
-        )
-        _finish(host, now, exchange, answer)
+    elif exchange.was_lost:
+        end_unknown(host, now, exchange, result.reason)
     else:
-        _finish(host, now, exchange, _not_run(host, exchange, result))
+        finish(host, now, exchange, _not_run(host, exchange, result))
     serve_waiting(host, now)
 
 
@@ -86,18 +136,25 @@
     """Ends a waiting request, or passes the cancellation on."""
     exchange = host.in_progress.get(event.request_id)
     if exchange is None:
-        return
-    if exchange.stage is Stage.WAITING:
+        at_most_once.cancel_unseen(host, event.request_id)
+    elif exchange.stage is Stage.WAITING:
         host.line(exchange.request.service).remove(exchange)
         refusal = Refusal(Reason.CANCELLED)
         answer = Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
-        _finish(host, now, exchange, answer)
+        finish(host, now, exchange, answer)
     elif exchange.attempt_id:
         host.emit(CancelAttempt(exchange.attempt_id))
 
 
 def on_tick(host: "EntryHost", now: float) -> None:
-    """Serves or refuses what waits."""
+    """Frees what lost attempts held, then serves or refuses what waits."""
+    due = [held for held in host.held if held.until <= now]
+    host.held = [held for held in host.held if held.until > now]
+    for held in due:
+        occupancy.vacate(host, held.occupancy)
+    claims.on_tick(host, now)
+    for exchange in list(host.owned.values()):
+        _answer_late_joined(host, now, exchange)
     serve_waiting(host, now)
 
 
@@ -123,11 +180,25 @@
             case Continue():
                 continue
             case Finish(answer):
-                _finish(host, now, exchange, answer)
+                settled = at_most_once.settle(host, exchange, answer)
+                finish(host, now, exchange, settled)
                 return
             case Delegate(state, reason):
                 _forward(host, now, exchange, state, reason)
                 return
+            case Join(first):
+                arrival = JoinedArrival(
+                    exchange.arrival_id, exchange.request.deadline
+                )
+                first.joined.append(arrival)
+                return
+            case Claim():
+                claims.add(host, now, exchange)
+                return
+            case Park():
+                exchange.stage = Stage.PARKED
+                host.handover.parked.append(exchange)
+                return
             case Wait(instead_of):
                 if instead_of is not None:
                     _give_up_place(host, now, instead_of)
@@ -149,7 +220,7 @@
 
 def _give_up_place(host: "EntryHost", now: float, exchange: Exchange) -> None:
     host.line(exchange.request.service).remove(exchange)
-    _finish(
+    finish(
         host,
         now,
         exchange,
@@ -175,7 +246,8 @@
             exchange.attempt_id,
             exchange.request,
             exchange.target.target,
-            fresh_connection=not exchange.request.repeatable,
+            exchange.arrival_id,
+            max_idle_s=_max_idle_s(exchange),
         )
     )
 
@@ -183,18 +255,33 @@
 def _forward(host, now, exchange: Exchange, state, reason: Reason) -> None:
     _begin_attempt(host, now, exchange)
     exchange.stage = Stage.FORWARDED
+    name, incarnation = host.owner
+    attempt = (name, format(incarnation, "x"), str(exchange.attempt_id))
     request = exchange.request._replace(
         hops=exchange.request.hops + 1,
-        delegated=exchange.ticket is not None or exchange.request.delegated,
+        delegated=exchange.is_owned or exchange.request.delegated,
+        attempt=SEPARATOR.join(attempt),
     )
     exchange.forwarded_to = state.name
     host.emit(
         Forward(
-            exchange.attempt_id, request, state.name, state.http_address, reason
+            exchange.attempt_id,
+            request,
+            state.name,
+            state.http_address,
+            reason,
+            exchange.arrival_id,
+            max_idle_s=_max_idle_s(exchange),
         )
     )
 
 
+def _max_idle_s(exchange: Exchange) -> float:
+    if exchange.was_lost:
+        return 0.0
+    return MAX_IDLE_S if exchange.request.repeatable else ANSWERED_WITHIN_S
+
+
 def _release(
     host: "EntryHost", now: float, exchange: Exchange, result: AttemptResult
 ) -> None:
@@ -205,7 +292,12 @@
         if result.ending in (Ending.REFUSED, Ending.NOT_SENT):
             exchange.refused_by.add(exchange.forwarded_to)
         return
-    occupancy.vacate(host, exchange.occupancy)
+    if result.ending is Ending.LOST:
+        # The target may still be executing it.
+        held = HeldRoom(exchange.occupancy, exchange.request.deadline)
+        host.held.append(held)
+    else:
+        occupancy.vacate(host, exchange.occupancy)
     exchange.occupancy = None
     if result.draining:
         state.leaving = True
@@ -213,7 +305,7 @@
         state.succeeded()
         line = host.line(exchange.request.service)
         line.observe(result.duration_s)
-    else:
+    elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
         exchange.refused_by.add(state.target.name)
 
@@ -225,7 +317,7 @@
         return exchange.request.repeatable and exchange.request.resendable
     if not exchange.request.resendable and result.ending is Ending.REFUSED:
         return False
-    if exchange.request.repeatable or exchange.ticket is not None:
+    if exchange.request.repeatable or exchange.is_owned:
         return True
     return exchange.request.delegated
 
@@ -249,7 +341,7 @@
     """Answers an attempt that nobody ran and that is not tried again."""
     is_owner_elsewhere = (
         not exchange.request.repeatable
-        and exchange.ticket is None
+        and not exchange.is_owned
         and not exchange.request.delegated
     )
     if is_owner_elsewhere and result.ending is Ending.NOT_SENT:
@@ -262,13 +354,14 @@
     return Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
 
 
-def _finish(
+def finish(
     host: "EntryHost", now: float, exchange: Exchange, answer: Answer
 ) -> None:
     """Records the outcome and answers every arrival that waits for it."""
     exchange.stage = Stage.ENDED
-    if host.in_progress.get(exchange.request.id) is exchange:
-        del host.in_progress[exchange.request.id]
+    for exchanges in (host.in_progress, host.owned):
+        if exchanges.get(exchange.request.id) is exchange:
+            del exchanges[exchange.request.id]
     at_most_once.record(host, exchange, answer)
     if answer.outcome is not Outcome.DONE:
         reason = answer.refusal.reason if answer.refusal else answer.reason
@@ -281,5 +374,19 @@
             outcome=str(answer.outcome),
             reason=str(reason),
         )
-    for arrival_id in exchange.arrival_ids:
-        host.emit(Reply(arrival_id, answer))
+    host.emit(Reply(exchange.arrival_id, answer))
+    for arrival in exchange.joined:
+        host.emit(Reply(arrival.arrival_id, answer))
+
+
+def _answer_late_joined(
+    host: "EntryHost", now: float, exchange: Exchange
+) -> None:
+    """Answers retries that cannot wait until their id's end."""
+    late = [a for a in exchange.joined if a.deadline <= now]
+    exchange.joined = [a for a in exchange.joined if a.deadline > now]
+    for arrival in late:
+        answer = Answer(
+            exchange.request.id, Outcome.UNKNOWN, reason=Reason.IN_PROGRESS
+        )
+        host.emit(Reply(arrival.arrival_id, answer))
--- a/packages/core/sardinewheel_core/request.py
+++ b/packages/core/sardinewheel_core/request.py
@@ -21,6 +21,10 @@
         resendable: Whether the driver still has the whole body to send again.
         delegated: Whether the host that owns the ticket handed the execution
             to this one.
+        attempt: Unique name of a delegated attempt, to recognize a copy.
+        is_first: Whether the caller says that it never sent this id before.
+        fingerprint: Digest of what is asked for, to tell a retry from another
+            request that uses the same id by mistake.
     """
 
     id: str
@@ -33,6 +37,9 @@
     hops: int = 0
     resendable: bool = True
     delegated: bool = False
+    attempt: str = ""
+    is_first: bool = False
+    fingerprint: str = ""
 
 
 class Outcome(StrEnum):
@@ -72,6 +79,10 @@
     OVERFLOW = "overflow"
     TICKET_OWNER = "ticket-owner"
     SUPERSEDED = "superseded"
+    ID_REUSED = "id-reused"
+    NOT_SEEN = "not-seen"
+    PAUSED = "paused"
+    DUPLICATE = "duplicate"
 
 
 class Refusal(NamedTuple):
--- a/packages/core/sardinewheel_core/stopping.py
+++ b/packages/core/sardinewheel_core/stopping.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardinewheel_core import handover
 from sardinewheel_core.effects import Exit, Send
 from sardinewheel_core.messages import Phase
 
@@ -14,14 +15,16 @@
     host.membership.own = host.membership.own._replace(phase=Phase.LEAVING)
     for peer, heartbeat in host.membership.announce():
         host.emit(Send(peer.host, peer.address, heartbeat))
+    handover.begin(host, now)
     host.report(now, "leaving", in_flight=len(host.exchanges))
 
 
 def on_tick(host: "EntryHost", now: float) -> None:
     """Exits once nothing is in flight."""
-    if host.phase is Phase.LEAVING and _is_idle(host):
+    if host.phase is Phase.LEAVING and _is_idle(host, now):
         host.emit(Exit())
 
 
-def _is_idle(host: "EntryHost") -> bool:
-    return not host.exchanges and not any(True for _ in host.waiting())
+def _is_idle(host: "EntryHost", now: float) -> bool:
+    is_working = host.exchanges or any(True for _ in host.waiting())
+    return not is_working and handover.is_finished(host, now)
--- a/packages/core/sardinewheel_core/ticket.py
+++ b/packages/core/sardinewheel_core/ticket.py
@@ -12,6 +12,13 @@
 MAX_REQUEST_ID_CHARS = 200
 
 
+class Owner(NamedTuple):
+    """The one incarnation of an entry host that may execute some ids."""
+
+    host: str
+    incarnation: int
+
+
 class Ticket(NamedTuple):
     """The right of one incarnation of an entry host to execute an id.
 
@@ -29,6 +36,11 @@
         parts = (self.host, format(self.incarnation, "x"), str(self.epoch))
         return SEPARATOR.join(parts)
 
+    @property
+    def owner(self) -> Owner:
+        """Incarnation that may execute ids made from this ticket."""
+        return Owner(self.host, self.incarnation)
+
     @classmethod
     def of_request(cls, request_id: str) -> "Ticket | None":
         """Returns the ticket that a request id starts with, if any.
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/api/outcomes.py
@@ -0,0 +1,111 @@
+"""What became of a request, and its cancellation."""
+
+import time
+
+import falcon
+from sardinewheel_core import claims
+from sardinewheel_core.messages import HostState
+from sardinewheel_core.request import Answer, Outcome, Reason
+from sardinewheel_core.ticket import Ticket
+
+from sardinewheel_entry import headers, http_exchange
+from sardinewheel_entry.api.answers import give_answer
+from sardinewheel_entry.attempts import REQUEST_PATH
+from sardinewheel_entry.driver import Driver
+from sardinewheel_entry.http_exchange import HttpResponse
+
+PEER_TIMEOUT_S = 2.0
+
+
+class OutcomeResource:
+    """``/v1/requests/{request_id}``: ask for an outcome, or cancel."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(
+        self, req: falcon.Request, resp: falcon.Response, request_id: str
+    ) -> None:
+        """Answers with what became of a request."""
+        self._answer(req, resp, request_id)
+
+    def on_delete(
+        self, req: falcon.Request, resp: falcon.Response, request_id: str
+    ) -> None:
+        """Cancels a request, then answers with what became of it."""
+        found = self._find(request_id)
+        is_here = isinstance(found, Answer)
+        if is_here:
+            self.driver.cancel(request_id)
+        self._answer(req, resp, request_id)
+
+    def _answer(
+        self, req: falcon.Request, resp: falcon.Response, request_id: str
+    ) -> None:
+        found = self._find(request_id)
+        if isinstance(found, HostState):
+            self._pass_on(req, resp, request_id, found)
+            return
+        if found.reason is Reason.NOT_SEEN and request_id in (
+            self.driver.host.in_progress
+        ):
+            found = Answer(request_id, Outcome.PENDING)
+        response = self.driver.responses.get(found.attempt_id)
+        give_answer(resp, found, response)
+
+    def _find(self, request_id: str) -> Answer | HostState:
+        now = time.monotonic()
+        found = self.driver.host.find_outcome(now, request_id)
+        is_unseen = isinstance(found, Answer) and (
+            found.reason is Reason.NOT_SEEN
+        )
+        if not is_unseen or Ticket.of_request(request_id) is not None:
+            return found
+        return self._find_claim(now, request_id) or found
+
+    def _find_claim(self, now: float, request_id: str) -> HostState | None:
+        """Returns the live host that claimed an id without a ticket."""
+        rows = self.driver.platform.read((claims.claim_key(request_id),))
+        for _, version, value in rows or ():
+            row = claims.decode_row(value) if version else None
+            if row is not None and row.owner != self.driver.host.owner:
+                return self.driver.host.live_owner(now, row.owner)
+        return None
+
+    def _pass_on(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        request_id: str,
+        state: HostState,
+    ) -> None:
+        response = None
+        if not req.get_header(headers.HOPS):
+            response = self._call(req.method, request_id, state.http_address)
+        outcome = response and response.headers.get(headers.OUTCOME.lower())
+        if not outcome:
+            reason = Reason.OWNER_UNREACHABLE
+            answer = Answer(request_id, Outcome.UNKNOWN, reason=reason)
+            give_answer(resp, answer, None)
+            return
+        answer = Answer(request_id, Outcome.DONE, status=response.status)
+        give_answer(resp, answer, response)
+        resp.set_header(headers.OUTCOME, outcome)
+
+    def _call(
+        self, method: str, request_id: str, address: str
+    ) -> HttpResponse | None:
+        head = http_exchange.head_of(
+            method,
+            REQUEST_PATH.format(request_id=request_id),
+            address,
+            {headers.HOPS: "1"},
+            0,
+        )
+        return http_exchange.call(
+            self.driver.attempts.connections,
+            address,
+            head,
+            now=time.monotonic(),
+            timeout_s=PEER_TIMEOUT_S,
+        )
--- /dev/null
+++ b/packages/entry/sardinewheel_entry/api/request_headers.py
@@ -0,0 +1,140 @@
+"""Reads a caller's request out of HTTP headers, with every finding."""
+
+import re
+import time
+import uuid
+from typing import NamedTuple
+
+import falcon
+from sardinewheel_core.errors import Finding, RequestError
+from sardinewheel_core.host import EntryHost
+from sardinewheel_core.request import Request
+from sardinewheel_core.ticket import MAX_REQUEST_ID_CHARS
+
+from sardinewheel_entry import headers
+
+DEFAULT_DEADLINE_MS = 5000
+MAX_DEADLINE_MS = 600_000
+MAX_WEIGHT = 1_000_000
+MAX_NAME_CHARS = 100
+MAX_PATH_CHARS = 2000
+MAX_HOPS = 16
+REQUEST_ID = re.compile(r"[!-~]+")
+PATH = re.compile(r"/[!-~]*")
+BOOLEANS = {"true": True, "false": False}
+
+
+class RequestHeaders(NamedTuple):
+    """A request and the path that it goes to at the target."""
+
+    request: Request
+    path: str
+
+
+class HeaderReader:
+    """Reads headers one by one and collects what is wrong with them."""
+
+    def __init__(self, req: falcon.Request):
+        self.req = req
+        self.findings: list[Finding] = []
+
+    def text(self, name: str, default: str = "") -> str:
+        """Returns a header as it stands."""
+        return self.req.get_header(name, default=default)
+
+    def boolean(self, name: str, default: bool) -> bool:
+        """Returns a header that is ``true`` or ``false``."""
+        text = self.text(name).lower()
+        if not text:
+            return default
+        if text not in BOOLEANS:
+            self.reject(name, text, "true or false")
+        return BOOLEANS.get(text, default)
+
+    def integer(self, name: str, default: int, low: int, high: int) -> int:
+        """Returns a header that is a whole number between two bounds."""
+        text = self.text(name)
+        if not text:
+            return default
+        is_number = text.isascii() and text.removeprefix("-").isdigit()
+        if is_number and low <= int(text[:MAX_NAME_CHARS]) <= high:
+            return int(text)
+        self.reject(name, text, f"a whole number from {low} to {high}")
+        return default
+
+    def matching(
+        self, name: str, default: str, pattern: re.Pattern, limit: int
+    ) -> str:
+        """Returns a header of limited length that matches a pattern."""
+        text = self.text(name) or default
+        if len(text) > limit or not pattern.fullmatch(text):
+            expected = f"up to {limit} characters like {pattern.pattern}"
+            self.reject(name, text, expected)
+        return text
+
+    def reject(self, place: str, value: str, expected: str) -> None:
+        """Adds a finding."""
+        self.findings.append(Finding(place, repr(value[:80]), expected))
+
+
+def read_request(
+    req: falcon.Request, service: str, host: EntryHost
+) -> RequestHeaders:
+    """Returns the request that HTTP headers describe.
+
+    Raises:
+        RequestError: Headers are malformed, with every finding.
+    """
+    reader = HeaderReader(req)
+    deadline_ms = reader.integer(
+        headers.DEADLINE_MS, DEFAULT_DEADLINE_MS, 0, MAX_DEADLINE_MS
+    )
+    kind_name = reader.text(headers.KIND)
+    known = host.configuration.intent.services.get(service)
+    kind = known.kinds.get(kind_name) if known else None
+    own_id = host.new_request_id(str(uuid.uuid4()))
+    has_id = bool(reader.text(headers.REQUEST_ID))
+    request = Request(
+        id=reader.matching(
+            headers.REQUEST_ID, own_id, REQUEST_ID, MAX_REQUEST_ID_CHARS
+        ),
+        service=service,
+        kind=kind_name,
+        weight=reader.integer(
+            headers.WEIGHT, kind.weight if kind else 1, 1, MAX_WEIGHT
+        ),
+        repeatable=reader.boolean(
+            headers.REPEATABLE, kind is not None and kind.repeatable
+        ),
+        deadline=time.monotonic() + deadline_ms / 1000,
+        block=reader.text(headers.BLOCK),
+        hops=reader.integer(headers.HOPS, 0, 0, MAX_HOPS),
+        delegated=reader.boolean(headers.DELEGATED, False),
+        attempt=reader.text(headers.ATTEMPT),
+        is_first=reader.boolean(headers.FIRST, not has_id),
+    )
+    if request.delegated and not (request.attempt and has_id):
+        expected = "the id and the attempt of a delegated request"
+        reader.reject(headers.ATTEMPT, request.attempt, expected)
+    path = reader.matching(headers.PATH, "/", PATH, MAX_PATH_CHARS)
+    for name in (headers.KIND, headers.BLOCK, headers.ATTEMPT):
+        if len(reader.text(name)) > MAX_NAME_CHARS:
+            expected = f"up to {MAX_NAME_CHARS} characters"
+            reader.reject(name, reader.text(name), expected)
+    if reader.findings:
+        raise RequestError(tuple(reader.findings))
+    return RequestHeaders(request, path)
+
+
+def answer_malformed(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: RequestError,
+    params: dict,
+) -> None:
+    """Answers a malformed request with every finding."""
+    resp.status = falcon.HTTP_400
+    resp.media = {
+        "error": "malformed-request",
+        "findings": [finding._asdict() for finding in error.findings],
+    }
--- a/packages/entry/sardinewheel_entry/api/requests.py
+++ b/packages/entry/sardinewheel_entry/api/requests.py
@@ -1,18 +1,15 @@
 """Requests of callers, and requests that peers hand on."""
 
 import time
-import uuid
 
 import falcon
-from sardinewheel_core.request import Answer, Outcome, Request
+import xxhash
+from sardinewheel_core.errors import Finding, RequestError
 
-from sardinewheel_entry import headers
-from sardinewheel_entry.attempts import Payload
+from sardinewheel_entry.api.answers import give_answer
+from sardinewheel_entry.api.request_headers import read_request
 from sardinewheel_entry.driver import Driver
-from sardinewheel_entry.http_exchange import HttpResponse
-
-DEFAULT_DEADLINE_MS = 5000
-MAX_BODY_BYTES = 1024 * 1024
+from sardinewheel_entry.payloads import BUFFER_BYTES, Payload
 
 
 class RequestsResource:
@@ -25,53 +22,55 @@
         self, req: falcon.Request, resp: falcon.Response, service: str
     ) -> None:
         """Executes a request and gives its final answer."""
-        request = request_of(req, service)
-        payload = Payload(
-            path=req.get_header(headers.PATH, default="/"),
-            content_type=req.content_type or "application/octet-stream",
-            body=req.bounded_stream.read(MAX_BODY_BYTES),
+        started_at = time.monotonic()
+        request, path = read_request(req, service, self.driver.host)
+        payload = read_payload(req, path)
+        request = request._replace(
+            resendable=payload.rest is None,
+            fingerprint=fingerprint(service, request.kind, payload),
         )
         answer, response = self.driver.serve(request, payload)
         give_answer(resp, answer, response)
+        took_s = time.monotonic() - started_at
+        self.driver.metrics.record(request, answer, took_s)
+
+
+def read_payload(req: falcon.Request, path: str) -> Payload:
+    """Returns the body, or the beginning of a large one.
+
+    Raises:
+        RequestError: The body is shorter than its length.
+    """
+    length = req.content_length
+    is_chunked = req.get_header("Transfer-Encoding") is not None
+    stream = req.stream if is_chunked else req.bounded_stream
+    body = _read(stream, BUFFER_BYTES)
+    is_whole = len(body) < BUFFER_BYTES or len(body) == length
+    if is_whole and not is_chunked and len(body) != (length or 0):
+        finding = Finding("body", f"{len(body)} bytes", f"{length} bytes")
+        raise RequestError((finding,))
+    content_type = req.content_type or "application/octet-stream"
+    if is_whole:
+        return Payload(path, content_type, body)
+    known = None if is_chunked else length
+    return Payload(path, content_type, body, known, stream)
 
 
-def request_of(req: falcon.Request, service: str) -> Request:
-    """Returns the request that HTTP headers describe."""
-    deadline_ms = req.get_header_as_int(headers.DEADLINE_MS)
-    if deadline_ms is None:
-        deadline_ms = DEFAULT_DEADLINE_MS
-    return Request(
-        id=req.get_header(headers.REQUEST_ID) or str(uuid.uuid4()),
-        service=service,
-        kind=req.get_header(headers.KIND, default=""),
-        weight=req.get_header_as_int(headers.WEIGHT) or 1,
-        repeatable=req.get_header(headers.REPEATABLE) != "false",
-        deadline=time.monotonic() + deadline_ms / 1000,
-        block=req.get_header(headers.BLOCK, default=""),
-        hops=req.get_header_as_int(headers.HOPS) or 0,
-        delegated=req.get_header(headers.DELEGATED) == "true",
-    )
+def fingerprint(service: str, kind: str, payload: Payload) -> str:
+    """Returns a digest by which a retry is told from another request."""
+    digest = xxhash.xxh3_64()
+    for part in (service, kind, payload.path, str(payload.length)):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(payload.body)
+    return digest.hexdigest()
 
 
-def give_answer(
-    resp: falcon.Response, answer: Answer, response: HttpResponse | None
-) -> None:
-    """Writes a final answer as an HTTP response."""
-    resp.set_header(headers.REQUEST_ID, answer.request_id)
-    resp.set_header(headers.OUTCOME, str(answer.outcome))
-    if answer.outcome is Outcome.DONE:
-        resp.status = answer.status
-        if response is not None:
-            resp.data = response.body
-            resp.content_type = response.headers.get("content-type", "")
-        return
-    reason = answer.refusal.reason if answer.refusal else answer.reason
-    resp.set_header(headers.REASON, str(reason))
-    resp.media = {"outcome": str(answer.outcome), "reason": str(reason)}
-    if answer.outcome is Outcome.NOT_RUN:
-        resp.status = falcon.HTTP_503
-        after_s = answer.refusal.retry_after_s
-        resp.set_header(headers.RETRY_AFTER_MS, str(int(after_s * 1000)))
-        resp.set_header(headers.RETRY_AT, ",".join(answer.refusal.retry_at))
-    else:
-        resp.status = falcon.HTTP_504
+def _read(stream, limit: int) -> bytes:
+    """Reads up to a limit; a stream may return less than asked for."""
+    pieces = []
+    left = limit
+    while left and (piece := stream.read(left)):
+        pieces.append(piece)
+        left -= len(piece)
+    return b"".join(pieces)
--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -9,6 +9,7 @@
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
+    CancelArrived,
     CancelAttempt,
     ChangeProposed,
     Dispatch,
@@ -29,15 +30,17 @@
 )
 from sardinewheel_core.host import EntryHost, Identity
 from sardinewheel_core.messages import Message
-from sardinewheel_core.request import Answer, Request
+from sardinewheel_core.request import Answer, Outcome, Request
 
-from sardinewheel_entry.attempts import AttemptRunner, Payload
+from sardinewheel_entry.attempts import AttemptRunner
 from sardinewheel_entry.http_exchange import HttpResponse
+from sardinewheel_entry.kept_responses import KeptResponses
+from sardinewheel_entry.metrics import Metrics
+from sardinewheel_entry.payloads import Payload
 from sardinewheel_entry.peers import PeerLinks
 from sardinewheel_entry.platform_client import PlatformClient
 
 TICK_S = 0.1
-RESPONSES_KEPT = 512
 
 log = structlog.get_logger()
 
@@ -58,14 +61,17 @@
         self.host = EntryHost(
             identity=identity, rng=self.rng, now=time.monotonic()
         )
-        self.attempts = AttemptRunner()
+        self.attempts = AttemptRunner(
+            confirm=self._confirm, on_stream=self._answer_early
+        )
         self.links = PeerLinks(identity.name, self.on_message)
         self.platform = platform
         self.stopped = AsyncResult()
         self.waiting: dict[int, AsyncResult] = {}
         self.proposals: dict[int, AsyncResult] = {}
-        self.payloads: dict[str, Payload] = {}
-        self.responses: dict[int, HttpResponse] = {}
+        self.payloads: dict[int, Payload] = {}
+        self.responses = KeptResponses()
+        self.metrics = Metrics()
         self.last_id = 0
 
     def run(self) -> None:
@@ -89,13 +95,17 @@
         """Has a request executed and returns its final answer."""
         self.last_id += 1
         result = self.waiting[self.last_id] = AsyncResult()
-        self.payloads.setdefault(request.id, payload)
+        arrival_id = self.last_id
+        self.payloads[arrival_id] = payload
         try:
-            self.feed(RequestArrived(self.last_id, request))
-            answer: Answer = result.get()
+            self.feed(RequestArrived(arrival_id, request))
+            return result.get()
         finally:
-            self.payloads.pop(request.id, None)
-        return answer, self.responses.get(answer.attempt_id)
+            self.payloads.pop(arrival_id, None)
+
+    def cancel(self, request_id: str) -> None:
+        """Passes on that a caller no longer wants an answer."""
+        self.feed(CancelArrived(request_id))
 
     def propose(self, event: ChangeProposed) -> ProposalEnded:
         """Proposes an operator's change and returns how that ended."""
@@ -108,15 +118,15 @@
         """Carries out one effect; nothing here waits."""
         match effect:
             case Dispatch():
-                payload = self.payloads[effect.request.id]
+                payload = self.payloads[effect.arrival_id]
                 gevent.spawn(self._run_attempt, effect, payload)
             case Forward():
-                payload = self.payloads[effect.request.id]
+                payload = self.payloads[effect.arrival_id]
                 gevent.spawn(self._run_attempt, effect, payload)
             case CancelAttempt(attempt_id):
                 self.attempts.cancel(attempt_id)
             case Reply(arrival_id, answer):
-                self.waiting.pop(arrival_id).set(answer)
+                self._answer(arrival_id, answer)
             case Send(_, address, message):
                 self.links.send(address, message)
             case ReadRows():
@@ -136,14 +146,35 @@
         result, response = self.attempts.run(effect, payload)
         duration_s = time.monotonic() - started_at
         if response is not None and result.ending is Ending.ANSWERED:
-            self._keep(effect.attempt_id, response)
+            self.responses.keep(effect.attempt_id, response)
         result: AttemptResult = result._replace(duration_s=duration_s)
         self.feed(AttemptEnded(effect.attempt_id, result))
 
-    def _keep(self, attempt_id: int, response: HttpResponse) -> None:
-        self.responses[attempt_id] = response
-        while len(self.responses) > RESPONSES_KEPT:
-            self.responses.pop(next(iter(self.responses)))
+    def _confirm(self, attempt_id: int) -> bool:
+        return self.host.confirm(time.monotonic(), attempt_id)
+
+    def _answer(
+        self,
+        arrival_id: int,
+        answer: Answer,
+        response: HttpResponse | None = None,
+    ) -> None:
+        """Wakes the arrival; one with a streamed response already has it."""
+        waiting = self.waiting.pop(arrival_id, None)
+        if waiting is not None:
+            kept = response or self.responses.get(answer.attempt_id)
+            waiting.set((answer, kept))
+
+    def _answer_early(
+        self, effect: Dispatch | Forward, response: HttpResponse
+    ) -> None:
+        answer = Answer(
+            effect.request.id,
+            Outcome.DONE,
+            attempt_id=effect.attempt_id,
+            status=response.status,
+        )
+        self._answer(effect.arrival_id, answer, response)
 
     def _read_rows(self, effect: ReadRows) -> None:
         rows = self.platform.read(effect.keys)
--- a/packages/entry/sardinewheel_entry/http_exchange.py
+++ b/packages/entry/sardinewheel_entry/http_exchange.py
@@ -5,19 +5,21 @@
 so the sockets are driven here and only its parser is used.
 """
 
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 import gevent
 from gevent import socket
-from geventhttpclient._parser import HTTPParseError
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from sardinewheel_entry import addresses
 
 CONNECT_TIMEOUT_S = 1.0
+UNACKNOWLEDGED_TIMEOUT_MS = 2000
 MAX_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 64
 READ_BLOCK_BYTES = 64 * 1024
+FIRST_FINAL_STATUS = 200
 
 
 class NotSentError(Exception):
@@ -29,17 +31,26 @@
 
 
 class HttpResponse(NamedTuple):
-    """A whole response.
+    """A response.
 
     Attributes:
         status: HTTP status.
         headers: Header names in lower case, and values.
-        body: The whole body.
+        body: The whole body, or its beginning.
+        rest: Yields what follows, of a body that is too large to keep.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    rest: Iterable[bytes] | None = None
+
+
+class Connection(NamedTuple):
+    """A connection and whether it was used before."""
+
+    sock: socket.socket
+    is_pooled: bool
 
 
 class Connections:
@@ -49,21 +60,33 @@
         self.idle: dict[str, list[tuple[float, socket.socket]]] = {}
 
     def take(self, address: str, *, now: float, fresh: bool) -> socket.socket:
+        """Returns a connection to an address, a new one if ``fresh``.
+
+        Raises:
+            NotSentError: No connection could be made.
+        """
+        max_idle_s = 0.0 if fresh else MAX_IDLE_S
+        return self.open(address, now=now, max_idle_s=max_idle_s).sock
+
+    def open(
+        self, address: str, *, now: float, max_idle_s: float
+    ) -> Connection:
         """Returns a connection to an address.
 
         Args:
             address: ``host:port``.
             now: Time on the monotonic clock, in seconds.
-            fresh: Whether an idle connection must not be used.
+            max_idle_s: Seconds that a connection may have been idle; 0 asks
+                for a new one.
 
         Raises:
             NotSentError: No connection could be made.
         """
         stack = self.idle.get(address, [])
-        while stack and not fresh:
+        while stack and max_idle_s > 0:
             used_at, sock = stack.pop()
-            if now - used_at < MAX_IDLE_S and _is_quiet(sock):
-                return sock
+            if now - used_at < max_idle_s and _is_quiet(sock):
+                return Connection(sock, True)
             sock.close()
         try:
             sock = socket.create_connection(
@@ -71,11 +94,18 @@
             )
         except OSError as error:
             raise NotSentError(str(error)) from error
+        sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_TIMEOUT_MS,
+        )
+        return Connection(sock, False)
 
     def put(self, address: str, sock: socket.socket, *, now: float) -> None:
         """Keeps a connection for later use."""
+        sock.settimeout(None)
         stack = self.idle.setdefault(address, [])
         if len(stack) < MAX_IDLE_PER_ADDRESS:
             stack.append((now, sock))
@@ -99,7 +129,7 @@
 
 
 def send(sock: socket.socket, head: bytes, body: bytes) -> None:
-    """Sends a request.
+    """Sends a request, or a part of it.
 
     Raises:
         ConnectionLostError: The connection broke; bytes may have left.
@@ -110,6 +140,83 @@
         raise ConnectionLostError(str(error)) from error
 
 
+class ResponseReader(HTTPResponse):
+    """Reads one response; a response that ends early is an error.
+
+    A response without a length and without chunks ends with its connection,
+    so a whole one cannot be told from one that was cut: it counts as cut.
+    """
+
+    def __init__(self, sock: socket.socket, method: str):
+        super().__init__(method=method)
+        self.sock = sock
+        self.has_ended = False
+
+    def read_head(self) -> None:
+        """Reads until the headers of the final response are complete.
+
+        Raises:
+            ConnectionLostError: The connection broke before.
+        """
+        while not self._has_final_head():
+            self._receive()
+
+    def read_body(self, limit: int) -> bytes:
+        """Returns the body, or at least ``limit`` bytes of a longer one.
+
+        Raises:
+            ConnectionLostError: The connection broke before.
+        """
+        while not self.has_ended and len(self._body_buffer) < limit:
+            self._receive()
+        return self._take_body()
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yields what is left of the body.
+
+        Raises:
+            ConnectionLostError: The connection broke before its end.
+        """
+        while not self.has_ended:
+            self._receive()
+            yield self._take_body()
+
+    def header_map(self) -> dict[str, str]:
+        """Returns the headers, names in lower case."""
+        return {name.lower(): value for name, value in self.items()}
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return self.has_ended and not self.should_close()
+
+    def _has_final_head(self) -> bool:
+        return self.headers_complete and (self.get_code() >= FIRST_FINAL_STATUS)
+
+    def _take_body(self) -> bytes:
+        body = bytes(self._body_buffer)
+        del self._body_buffer[:]
+        return body
+
+    def _receive(self) -> None:
+        try:
+            data = self.sock.recv(READ_BLOCK_BYTES)
+            if not data:
+                raise ConnectionLostError("closed before the response ended")
+            self.feed(data)
+        except (OSError, HTTPParseError) as error:
+            raise ConnectionLostError(str(error)) from error
+
+    def _on_message_begin(self) -> None:
+        if self.has_ended:
+            raise HTTPParseError("bytes after the end of the response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        self.has_ended = self.get_code() >= FIRST_FINAL_STATUS
+
+
 def receive(sock: socket.socket, method: str) -> tuple[HttpResponse, bool]:
     """Reads a whole response.
 
@@ -119,23 +226,70 @@
     Raises:
         ConnectionLostError: The connection broke before the response ended.
     """
+    reader = ResponseReader(sock, method)
+    reader.read_head()
+    body = reader.read_body(READ_BLOCK_BYTES) + b"".join(reader.chunks())
+    response = HttpResponse(reader.status_code, reader.header_map(), body)
+    return response, reader.is_reusable
+
+
+def call(
+    connections: Connections,
+    address: str,
+    head: bytes,
+    *,
+    now: float,
+    timeout_s: float,
+) -> HttpResponse | None:
+    """Sends a small request once; nothing when no whole response came.
+
+    Args:
+        connections: Where to take the connection from.
+        address: ``host:port``.
+        head: Request line and headers; their first word is the method.
+        now: Time on the monotonic clock, in seconds.
+        timeout_s: Seconds to wait for the whole response.
+    """
+    method = head.split(b" ", 1)[0].decode("ascii")
     try:
-        response = HTTPSocketResponse(
-            sock, block_size=READ_BLOCK_BYTES, method=method
-        )
-        body = bytes(response.read())
-    except (OSError, HTTPParseError, gevent.Timeout) as error:
-        raise ConnectionLostError(str(error)) from error
-    headers = {k.lower(): v for k, v in response.items()}
-    keep = response.message_complete and not response.should_close()
-    return HttpResponse(response.status_code, headers, body), keep
+        sock = connections.take(address, now=now, fresh=False)
+    except NotSentError:
+        return None
+    keep = False
+    try:
+        with gevent.Timeout(timeout_s):
+            send(sock, head, b"")
+            response, keep = receive(sock, method)
+    except (ConnectionLostError, gevent.Timeout):
+        return None
+    finally:
+        if keep:
+            connections.put(address, sock, now=now)
+        else:
+            sock.close()
+    return response
 
 
 def head_of(
-    method: str, path: str, address: str, headers: dict[str, str], length: int
+    method: str,
+    path: str,
+    address: str,
+    headers: dict[str, str],
+    length: int | None,
 ) -> bytes:
-    """Returns the request line and headers as bytes."""
+    """Returns the request line and headers as bytes.
+
+    Args:
+        method: HTTP method.
+        path: Path with query.
+        address: ``host:port`` that the request goes to.
+        headers: Further headers.
+        length: Bytes of the body; nothing when it is sent in chunks.
+    """
     lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    lines += [f"Content-Length: {length}", "", ""]
+    if length is None:
+        lines += ["Transfer-Encoding: chunked", "", ""]
+    else:
+        lines += [f"Content-Length: {length}", "", ""]
     return "\r\n".join(lines).encode("latin-1")
--- a/packages/entry/sardinewheel_entry/main.py
+++ b/packages/entry/sardinewheel_entry/main.py
@@ -21,6 +21,7 @@
 from sardinewheel_entry import logs, wsgi  # noqa: E402
 from sardinewheel_entry.api.app import create_app  # noqa: E402
 from sardinewheel_entry.driver import Driver  # noqa: E402
+from sardinewheel_entry.metrics import Metrics  # noqa: E402
 from sardinewheel_entry.platform_client import PlatformClient  # noqa: E402
 from sardinewheel_entry.settings import Settings  # noqa: E402
 
@@ -76,6 +77,7 @@
     )
     platform = PlatformClient(settings.platform_address)
     driver = Driver(identity=identity, platform=platform)
+    driver.metrics = Metrics.from_address(settings.statsd_address)
     http = wsgi.server(settings.http_address, create_app(driver))
     http.start()
     peers = driver.links.serve(settings.peer_address)
