--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -2,7 +2,14 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import dispatching, proposals, rollout, stopping
+from sardinewheel_core import (
+    claims,
+    dispatching,
+    handover,
+    proposals,
+    rollout,
+    stopping,
+)
 from sardinewheel_core.effects import (
     HostListRead,
     LoadRead,
@@ -17,6 +24,8 @@
     ChangesSent,
     ChangesWanted,
     Heartbeat,
+    OutcomesHandedOn,
+    OutcomesTaken,
     SnapshotPart,
 )
 
@@ -27,6 +36,8 @@
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
+    host.delegations.advance(now)
+    handover.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -41,6 +52,8 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
+            host.is_superseded |= host.membership.is_superseded(states)
+            handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
@@ -48,6 +61,10 @@
             rollout.on_changes(host, now, event.sender, changes)
         case SnapshotPart():
             rollout.on_snapshot_part(host, now, event.sender, event.message)
+        case OutcomesHandedOn() as message:
+            handover.on_handed_on(host, now, event.sender, message)
+        case OutcomesTaken() as message:
+            handover.on_taken(host, now, message)
 
 
 def on_platform(
@@ -62,6 +79,7 @@
             proposals.on_rows(host, now, event)
         case TransactionEnded():
             proposals.on_transaction(host, now, event)
+            claims.on_transaction(host, now, event)
         case ObjectRead():
             rollout.on_object(host, now, event)
 
