Add behave features: the users' promises against real processes

One feature a promise, each scenario with a house of its own: three entry hosts, three targets, the platform. Not part of make test yet.

--- /dev/null
+++ b/features/steps/operators.py
@@ -0,0 +1,83 @@
+"""Steps of operators who change the configuration."""
+
+from behave import then, when
+from sardinewheel_core.change import SetCap
+from sardinewheel_testing.processes import wait_until
+
+
+def cap_in_force(context, seat, region):
+    intent = context.house.status(seat).media["intent"]
+    return dict(intent["regions"])[region]["cap"]
+
+
+@when('two operators set the cap of "{region}" at the same moment')
+def two_operators(context, region):
+    proposals = {"quito-1": ("ana", 11), "guayaquil-1": ("luis", 12)}
+    futures = {
+        author: context.callers.submit(
+            context.house.change, seat, [SetCap(region, cap)], author=author
+        )
+        for seat, (author, cap) in proposals.items()
+    }
+    context.caps = {author: cap for author, cap in proposals.values()}
+    context.region = region
+    context.ends = {a: f.result().media for a, f in futures.items()}
+
+
+@then("both were told how it ended, and who won if theirs lost")
+def told(context):
+    accepted = [a for a, e in context.ends.items() if e["state"] == "accepted"]
+    assert accepted, context.ends
+    for author, ended in context.ends.items():
+        if author not in accepted:
+            assert ended["state"] == "conflict", ended
+            assert ended["winner"]["author"] == accepted[0], ended
+
+
+@then("the cap that was accepted last is in force on every entry host")
+def last_in_force(context):
+    accepted = {
+        ended["version"]: author
+        for author, ended in context.ends.items()
+        if ended["state"] == "accepted"
+    }
+    cap = context.caps[accepted[max(accepted)]]
+    wait_for_cap(context, context.region, cap)
+
+
+@when("the platform loses its next answer to a write")
+def lose_answer(context):
+    context.house.set_platform(mode="lose-answers", count=1)
+
+
+@when('an operator sets the cap of "{region}" to {cap:d}')
+def set_cap(context, region, cap):
+    reply = context.house.change("quito-1", [SetCap(region, cap)])
+    context.ended = reply.media
+    if context.ended["state"] == "accepted":
+        wait_for_cap(context, region, cap)
+
+
+@then("the operator is told that the change was accepted")
+def was_accepted(context):
+    assert context.ended["state"] == "accepted", context.ended
+
+
+@then('the cap of "{region}" is {cap:d} on every entry host')
+def cap_everywhere(context, region, cap):
+    wait_for_cap(context, region, cap)
+
+
+def wait_for_cap(context, region, cap):
+    for seat in context.house.addresses:
+        wait_until(lambda s=seat: cap_in_force(context, s, region) == cap)
+
+
+@when("every entry host is replaced, one after the other")
+def replace_all(context):
+    house = context.house
+    for seat in house.addresses:
+        house.hosts[seat].kill()
+        house.start_host(seat)
+        house.wait_for(seat)
+        wait_until(lambda s=seat: house.status(s).media["ready"])
