--- /dev/null
+++ b/packages/cli/sardinewheel_cli/client.py
@@ -0,0 +1,131 @@
+"""HTTP client of the entry hosts' operator interface."""
+
+import json
+import urllib.parse
+from typing import Any, NamedTuple
+
+import gevent.pool
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from sardinewheel_cli.errors import UnreachableError
+
+CONNECT_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 15.0
+MAX_CONCURRENT_CALLS = 32
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class Reply(NamedTuple):
+    """What one entry host answered.
+
+    Attributes:
+        address: ``host:port`` of the host.
+        status: HTTP status, or 0 when it did not answer.
+        media: The body, from JSON.
+        error: Why there is no answer, or empty.
+        sent: Whether the request may have reached the host.
+    """
+
+    address: str
+    status: int = 0
+    media: Any = None
+    error: str = ""
+    sent: bool = True
+
+    @property
+    def answered(self) -> bool:
+        """Whether the host answered."""
+        return self.status != 0
+
+
+class HostClient:
+    """Asks entry hosts; any of them can answer.
+
+    Attributes:
+        addresses: Addresses to try, best first.
+    """
+
+    def __init__(self, addresses: tuple[str, ...]):
+        self.addresses = list(addresses)
+
+    def get(self, path: str, **parameters: str) -> Reply:
+        """Returns the answer of the first host that answers.
+
+        Raises:
+            UnreachableError: No host answered.
+        """
+        errors = []
+        for address in list(self.addresses):
+            reply = call(address, "GET", _path(path, parameters))
+            if reply.answered:
+                self.prefer(address)
+                return reply
+            errors.append(f"{address}: {reply.error}")
+        raise UnreachableError("no entry host answered; " + "; ".join(errors))
+
+    def get_each(
+        self, addresses: tuple[str, ...], path: str, **parameters: str
+    ) -> list[Reply]:
+        """Returns the answers of several hosts, asked at the same time."""
+        pool = gevent.pool.Pool(MAX_CONCURRENT_CALLS)
+        full = _path(path, parameters)
+        return pool.map(lambda address: call(address, "GET", full), addresses)
+
+    def post(self, path: str, media: Any) -> Reply:
+        """Sends to the first host that takes the connection.
+
+        Once bytes have left, no other host is tried; the reply then says so.
+
+        Raises:
+            UnreachableError: No host took the connection.
+        """
+        errors = []
+        for address in list(self.addresses):
+            reply = call(address, "POST", path, media)
+            if reply.answered or reply.sent:
+                return reply
+            errors.append(f"{address}: {reply.error}")
+        raise UnreachableError("no entry host answered; " + "; ".join(errors))
+
+    def add(self, addresses: tuple[str, ...]) -> None:
+        """Adds addresses to try after those that are known."""
+        self.addresses += [a for a in addresses if a not in self.addresses]
+
+    def demote_first(self) -> None:
+        """Makes the first address the last to try."""
+        self.addresses.append(self.addresses.pop(0))
+
+    def prefer(self, address: str) -> None:
+        """Makes an address the first to try."""
+        self.addresses.remove(address)
+        self.addresses.insert(0, address)
+
+
+def call(address: str, method: str, path: str, media: Any = None) -> Reply:
+    """Sends one request and returns what came of it."""
+    host, _, port = address.rpartition(":")
+    body = b"" if media is None else json.dumps(media).encode()
+    try:
+        client = HTTPClient(
+            host,
+            int(port),
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=ANSWER_TIMEOUT_S,
+        )
+    except ValueError as error:
+        return Reply(address, error=f"not an address: {error}", sent=False)
+    try:
+        response = client.request(method, path, body, JSON_HEADERS)
+        return Reply(address, response.status_code, json.loads(response.read()))
+    except ConnectionRefusedError as error:
+        return Reply(address, error=str(error), sent=False)
+    except (OSError, HTTPParseError, ValueError) as error:
+        return Reply(address, error=f"{type(error).__name__}: {error}")
+    finally:
+        client.close()
+
+
+def _path(path: str, parameters: dict[str, str]) -> str:
+    given = {name: value for name, value in parameters.items() if value}
+    return f"{path}?{urllib.parse.urlencode(given)}" if given else path
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/flows.py
@@ -0,0 +1,74 @@
+"""Where traffic flows, and how long it takes."""
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from sardinewheel_core.codec import to_plain
+from sardinewheel_core.traffic import TrafficView
+
+from sardinewheel_cli.rollouts import unseen_notes
+from sardinewheel_cli.tables import Grid, Output
+
+if TYPE_CHECKING:
+    from sardinewheel_cli.session import Session
+
+AXES = {
+    "": ("service", "kind", "source", "destination", "outcome"),
+    "service": ("service", "outcome"),
+    "kind": ("service", "kind", "outcome"),
+    "region": ("source", "destination", "outcome"),
+}
+HEADINGS = {"source": "from", "destination": "to"}
+
+
+class FlowSum(NamedTuple):
+    """Requests of one row.
+
+    Attributes:
+        key: Values of the axes.
+        recent: Requests in the latest span.
+        total: Requests in the whole span kept.
+    """
+
+    key: tuple[str, ...]
+    recent: int
+    total: int
+
+
+def traffic(session: "Session", by: str) -> Output:
+    """Returns where requests went, now and over the last minutes."""
+    view = session.view()
+    answers, silent = session.ask_each(view, "/v1/traffic", TrafficView)
+    axes = AXES[by]
+    sums = _sums(answers, axes)
+    recent_s = max((a.recent_s for a in answers), default=0.0)
+    total_s = max((a.total_s for a in answers), default=0.0)
+    columns = (
+        *(HEADINGS.get(axis, axis) for axis in axes),
+        f"last {recent_s:.0f} s",
+        f"last {total_s:.0f} s",
+    )
+    rows = tuple((*row.key, row.recent, row.total) for row in sums)
+    media = {"traffic": to_plain(answers), "silent": silent}
+    grid = Grid("requests", columns, rows)
+    return Output(media, (grid,), unseen_notes(view, silent))
+
+
+def _sums(answers: list[TrafficView], axes: tuple[str, ...]) -> list[FlowSum]:
+    recent: Counter[tuple] = Counter()
+    total: Counter[tuple] = Counter()
+    for answer in answers:
+        for count in answer.counts:
+            key = tuple(getattr(count.flow, axis) for axis in axes)
+            recent[key] += count.recent
+            total[key] += count.total
+    return [FlowSum(key, recent[key], total[key]) for key in sorted(total)]
+
+
+def latency(session: "Session", service: str) -> Output:
+    """Returns latency percentiles by service and kind."""
+    view = session.view()
+    answers, silent = session.ask_each(
+        view, "/v1/histograms", Any, service=service
+    )
+    return Output({"latency": answers, "silent": silent})
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/rooms.py
@@ -0,0 +1,112 @@
+"""Headroom of regions, services and targets, summed over entry hosts."""
+
+from typing import TYPE_CHECKING
+
+from sardinewheel_core.codec import to_plain
+from sardinewheel_core.intent import Intent, Service, Subject
+from sardinewheel_core.views import HeadroomView, View
+
+from sardinewheel_cli.rollouts import unseen_notes
+from sardinewheel_cli.tables import Grid, Output
+
+if TYPE_CHECKING:
+    from sardinewheel_cli.session import Session
+
+REGION_COLUMNS = ("region", "cap", "usable", "in flight", "free", "hosts")
+HOST_COLUMNS = ("host", "region", "share", "usable", "in flight", "version")
+SERVICE_COLUMNS = ("service", "region", "slots", "free", "in flight", "waiting")
+TARGET_COLUMNS = (
+    "target",
+    "domain",
+    "slots",
+    "usable",
+    "in flight",
+    "drained",
+    "dispatched to by",
+)
+
+
+def headroom(session: "Session", *, region: str = "") -> Output:
+    """Returns the room of every region, or of one."""
+    view = session.view()
+    answers, silent = session.ask_each(view, "/v1/headroom", HeadroomView)
+    if region:
+        answers = [a for a in answers if a.region == region]
+    grids = (
+        _regions(view.intent, answers, region),
+        _services(answers),
+        _hosts(answers),
+    )
+    media = {
+        "headroom": to_plain(answers),
+        "silent": silent,
+        "unseen": view.unseen,
+    }
+    return Output(media, grids, unseen_notes(view, silent))
+
+
+def targets(session: "Session", view: View, service: Service) -> Output:
+    """Returns the targets of a service with their use."""
+    answers, silent = session.ask_each(view, "/v1/headroom", HeadroomView)
+    uses = {use.name: (a.host, use) for a in answers for use in a.targets}
+    rows = []
+    for target in service.targets.values():
+        host, use = uses.get(target.name, ("nobody seen", None))
+        drained = view.intent.is_drained(Subject.TARGET, target.name)
+        limit = use.limit if use else 0
+        in_flight = use.in_flight if use else 0
+        rows.append(
+            (
+                target.name,
+                target.domain,
+                target.slots,
+                limit,
+                in_flight,
+                drained,
+                host,
+            )
+        )
+    grid = Grid(f"targets of {service.name}", TARGET_COLUMNS, tuple(rows))
+    media = {"uses": [to_plain(use) for _, use in uses.values()]}
+    return Output(media, (grid,), unseen_notes(view, silent))
+
+
+def _regions(intent: Intent, answers: list[HeadroomView], only: str) -> Grid:
+    rows = []
+    for region in intent.regions.values():
+        if only and region.name != only:
+            continue
+        own = [a for a in answers if a.region == region.name]
+        usable = sum(a.limit for a in own)
+        in_flight = sum(a.in_flight for a in own)
+        rows.append(
+            (
+                region.name,
+                region.cap,
+                usable,
+                in_flight,
+                usable - in_flight,
+                len(own),
+            )
+        )
+    return Grid("headroom in weight units", REGION_COLUMNS, tuple(rows))
+
+
+def _services(answers: list[HeadroomView]) -> Grid:
+    sums: dict[tuple[str, str], list[int]] = {}
+    for answer in answers:
+        for load in answer.services:
+            total = sums.setdefault((load.service, answer.region), [0] * 4)
+            figures = (load.slots, load.free, load.in_flight, load.waiting)
+            for index, figure in enumerate(figures):
+                total[index] += figure
+    rows = tuple((*key, *total) for key, total in sorted(sums.items()))
+    return Grid("room in requests", SERVICE_COLUMNS, rows)
+
+
+def _hosts(answers: list[HeadroomView]) -> Grid:
+    rows = tuple(
+        (a.host, a.region, a.share, a.limit, a.in_flight, a.version)
+        for a in sorted(answers)
+    )
+    return Grid("parts of the hosts in weight units", HOST_COLUMNS, rows)
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/runner.py
@@ -0,0 +1,122 @@
+"""Runs commands and scripts, prints their answers, sets the exit status."""
+
+import json
+import sys
+
+from sardinewheel_core.errors import (
+    CommandError,
+    Finding,
+    SardinewheelError,
+)
+
+from sardinewheel_cli import script
+from sardinewheel_cli.commands import ChangeIntent, Command, Options
+from sardinewheel_cli.errors import ExitStatus, OperatorError
+from sardinewheel_cli.parser import parse
+from sardinewheel_cli.session import Session
+from sardinewheel_cli.syntax import CommandSyntaxError
+from sardinewheel_cli.tables import Output, render
+
+
+def run_command(session: Session, text: str, options: Options) -> ExitStatus:
+    """Runs one command and prints its answer."""
+    try:
+        command = _parse(text, options)
+    except CommandError as error:
+        return _fail(error, options)
+    return _print_answer(session, command)
+
+
+def run_script(
+    session: Session, text: str, options: Options, *, as_one: bool
+) -> ExitStatus:
+    """Runs a script; nothing of it runs if any command is malformed.
+
+    It ends at the first command that fails.
+    """
+    commands = []
+    findings: list[Finding] = []
+    for part in script.split(text):
+        try:
+            commands.append(_parse(part.text, options))
+        except CommandError as error:
+            findings += _with_line(error, part.line)
+    if findings:
+        return _fail(CommandError(tuple(findings)), options)
+    if as_one:
+        return _run_as_one(session, commands, options)
+    for command in commands:
+        status = _print_answer(session, command)
+        if status is not ExitStatus.OK:
+            return status
+    return ExitStatus.OK
+
+
+def _run_as_one(
+    session: Session, commands: list[Command], options: Options
+) -> ExitStatus:
+    statements = [command.statement for command in commands]
+    if not all(isinstance(s, ChangeIntent) for s in statements):
+        finding = Finding("--as-one", "a query", "only changes")
+        return _fail(CommandError((finding,)), options)
+    for command in commands:
+        options = options.merged(command.options)
+    operations = tuple(statement.operation for statement in statements)
+    try:
+        output = session.change(operations, Command(statements[0], options))
+    except SardinewheelError as error:
+        return _fail(error, options)
+    _print(output, options)
+    return ExitStatus.OK
+
+
+def _parse(text: str, options: Options) -> Command:
+    command = parse(text)
+    return command._replace(options=command.options.merged(options))
+
+
+def _print_answer(session: Session, command: Command) -> ExitStatus:
+    try:
+        output = session.run(command)
+    except SardinewheelError as error:
+        return _fail(error, command.options)
+    _print(output, command.options)
+    return ExitStatus.OK
+
+
+def _print(output: Output, options: Options) -> None:
+    if options.json:
+        print(json.dumps(output.media))
+    else:
+        print(render(output))
+
+
+def _fail(error: SardinewheelError, options: Options) -> ExitStatus:
+    """Prints an error and returns its exit status."""
+    is_usage = isinstance(error, CommandError)
+    status = ExitStatus.USAGE if is_usage else ExitStatus.REFUSED
+    if isinstance(error, OperatorError):
+        status = error.status
+    if options.json:
+        print(json.dumps(_media(error)))
+    text = str(error)
+    if isinstance(error, CommandSyntaxError):
+        text = error.render()
+    print(text, file=sys.stderr)
+    return status
+
+
+def _media(error: SardinewheelError) -> dict:
+    media = {"error": type(error).__name__, "message": str(error)}
+    if isinstance(error, CommandError):
+        media["findings"] = [finding._asdict() for finding in error.findings]
+    if isinstance(error, OperatorError):
+        media["reply"] = error.media
+    return media
+
+
+def _with_line(error: CommandError, line: int) -> list[Finding]:
+    return [
+        finding._replace(place=f"command at line {line}, {finding.place}")
+        for finding in error.findings
+    ]
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/script.py
@@ -0,0 +1,44 @@
+"""Splits a script into commands.
+
+A line that starts with a space continues the command before it, and so does
+the line after one that ends with a backslash. ``#`` starts a comment.
+"""
+
+from typing import NamedTuple
+
+
+class ScriptCommand(NamedTuple):
+    """One command of a script.
+
+    Attributes:
+        line: Number of its first line, from 1.
+        text: Its text, with the line breaks.
+    """
+
+    line: int
+    text: str
+
+
+def split(text: str) -> list[ScriptCommand]:
+    r"""Returns the commands of a script.
+
+    Examples:
+        >>> [c.text for c in split("show regions # all\n\nset cap a \\\n40")]
+        ['show regions # all', 'set cap a \n40']
+    """
+    commands: list[ScriptCommand] = []
+    continues = False
+    for number, raw in enumerate(text.splitlines(), start=1):
+        line = raw.rstrip()
+        if not line or line.lstrip().startswith("#"):
+            continue
+        is_continued = line.endswith("\\")
+        line = line.removesuffix("\\")
+        if commands and (continues or line[:1].isspace()):
+            first = commands[-1]
+            joined = f"{first.text}\n{line}"
+            commands[-1] = first._replace(text=joined)
+        else:
+            commands.append(ScriptCommand(number, line))
+        continues = is_continued
+    return commands
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/syntax.py
@@ -0,0 +1,78 @@
+"""Errors in a command's text, with the place and a suggestion."""
+
+import difflib
+
+from sardinewheel_core.errors import CommandError, Finding
+
+MAX_EXPECTED_SHOWN = 12
+
+
+class CommandSyntaxError(CommandError):
+    """A command's text does not follow the grammar.
+
+    Attributes:
+        text: The text of the command.
+        position: Index in the text where it stops making sense.
+        expected: Words or sorts of words that may stand there.
+        suggestion: The nearest of them, or empty.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        position: int,
+        expected: tuple[str, ...],
+        names: tuple[str, ...] = (),
+    ):
+        self.text = text
+        self.position = min(max(position, 0), len(text))
+        self.expected = expected
+        word = word_at(text, self.position)
+        self.suggestion = nearest(word, (*expected, *names))
+        value = repr(word) if word else "the end of the command"
+        shown = ", ".join(expected[:MAX_EXPECTED_SHOWN])
+        finding = Finding(
+            f"column {self.column}", value, f"one of: {shown}" if shown else ""
+        )
+        super().__init__((finding,))
+
+    @property
+    def column(self) -> int:
+        """Column in its line, from 1."""
+        return self.position - self._line_start() + 1
+
+    def render(self) -> str:
+        """Returns the line with a caret under the place, and a suggestion."""
+        start = self._line_start()
+        end = self.text.find("\n", self.position)
+        line = self.text[start : end if end >= 0 else len(self.text)]
+        caret = " " * (self.position - start) + "^"
+        lines = [line, caret, str(self)]
+        if self.suggestion:
+            lines.append(f"did you mean {self.suggestion!r}?")
+        return "\n".join(lines)
+
+    def _line_start(self) -> int:
+        return self.text.rfind("\n", 0, self.position) + 1
+
+
+def word_at(text: str, position: int) -> str:
+    """Returns the word that starts at a position.
+
+    Examples:
+        >>> word_at("show regoins now", 5)
+        'regoins'
+    """
+    words = text[position:].split(maxsplit=1)
+    return words[0].rstrip(",") if words else ""
+
+
+def nearest(word: str, choices: tuple[str, ...]) -> str:
+    """Returns the choice that is most like a word, or nothing.
+
+    Examples:
+        >>> nearest("regoins", ("services", "regions"))
+        'regions'
+    """
+    found = difflib.get_close_matches(word, choices, n=1)
+    return found[0] if found else ""
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/tables.py
@@ -0,0 +1,71 @@
+"""Answers as aligned tables or as JSON."""
+
+from typing import Any, NamedTuple
+
+from rich.box import SIMPLE_HEAD
+from rich.console import Console
+from rich.table import Table
+
+CONSOLE_COLUMNS = 160
+
+
+class Grid(NamedTuple):
+    """Rows under named columns.
+
+    Attributes:
+        title: What the rows are.
+        columns: Names of the columns.
+        rows: The cells.
+    """
+
+    title: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Any, ...], ...]
+
+
+class Output(NamedTuple):
+    """The answer to one command.
+
+    Attributes:
+        media: The answer as plain values, for ``--json``.
+        grids: The answer as tables.
+        notes: Lines that follow the tables, such as what could not be seen.
+    """
+
+    media: Any
+    grids: tuple[Grid, ...] = ()
+    notes: tuple[str, ...] = ()
+
+
+def render(output: Output) -> str:
+    """Returns an answer as text for people."""
+    parts = [_grid(grid) for grid in output.grids]
+    parts += list(output.notes)
+    return "\n".join(parts)
+
+
+def _grid(grid: Grid) -> str:
+    if not grid.rows:
+        return f"{grid.title}: none"
+    table = Table(title=grid.title, box=SIMPLE_HEAD, title_justify="left")
+    for index, column in enumerate(grid.columns):
+        cells = [row[index] for row in grid.rows]
+        is_number = all(isinstance(cell, int | float) for cell in cells)
+        table.add_column(
+            column, justify="right" if is_number else "left", no_wrap=True
+        )
+    for row in grid.rows:
+        table.add_row(*(_cell(cell) for cell in row))
+    console = Console(width=CONSOLE_COLUMNS, color_system=None, markup=False)
+    with console.capture() as capture:
+        console.print(table)
+    lines = capture.get().rstrip().splitlines()
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    return str(value)
--- /dev/null
+++ b/packages/cli/sardinewheel_cli/usage.py
@@ -0,0 +1,24 @@
+"""Sums what the entry hosts say is in use."""
+
+from collections import Counter
+
+from sardinewheel_core.preview import RegionUse, ServiceUse, Usage
+from sardinewheel_core.views import HeadroomView
+
+
+def usage_of(views: list[HeadroomView]) -> Usage:
+    """Returns the use over all hosts that answered.
+
+    Each target is dispatched to by one host, so the figures add up.
+    """
+    regions: Counter[str] = Counter()
+    services: Counter[str] = Counter()
+    for view in views:
+        if view.region:
+            regions[view.region] += view.in_flight
+        for load in view.services:
+            services[load.service] += load.in_flight
+    return Usage(
+        tuple(RegionUse(*item) for item in sorted(regions.items())),
+        tuple(ServiceUse(*item) for item in sorted(services.items())),
+    )
--- a/packages/core/sardinewheel_core/decisions.py
+++ b/packages/core/sardinewheel_core/decisions.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 MAX_DECISIONS = 2000
+REPAIR_EVENTS = frozenset({"platform-row-refused"})
 
 
 class Decision(NamedTuple):
@@ -37,3 +38,7 @@
         return [
             d for d in self.decisions if any(v == value for _, v in d.fields)
         ]
+
+    def repairs(self) -> list[Decision]:
+        """Returns the decisions that mended something, oldest first."""
+        return [d for d in self.decisions if d.event in REPAIR_EVENTS]
--- /dev/null
+++ b/packages/core/sardinewheel_core/preview.py
@@ -0,0 +1,346 @@
+"""What a change would do: differences, and promises that it would strain.
+
+Everything here is a pure function of the intent in force, the operations and
+the use at the moment.
+"""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from sardinewheel_core.change import (
+    Change,
+    DefineRegion,
+    Operation,
+    RemoveService,
+    SetCap,
+    StartShift,
+    apply_change,
+)
+from sardinewheel_core.errors import ChangeRejectedError, Finding
+from sardinewheel_core.intent import Intent, Service, Subject
+
+
+class Promise(StrEnum):
+    """A promise that a change may strain, by the name that forces it."""
+
+    DRAIN_ROOM = "drain-room"
+    REGION_CAP = "region-cap"
+    SERVICE_IN_USE = "service-in-use"
+
+
+class Strain(NamedTuple):
+    """A promise that a change would make hard to hold.
+
+    Attributes:
+        promise: The promise; forcing the change names it.
+        subject: What lacks room, such as ``service pedidos``.
+        unit: What the two figures count.
+        needed: How much is needed.
+        left: How much the change leaves.
+    """
+
+    promise: Promise
+    subject: str
+    unit: str
+    needed: int
+    left: int
+
+    def __str__(self) -> str:
+        return (
+            f"{self.promise}: {self.subject} needs {self.needed} {self.unit},"
+            f" the change leaves {self.left}"
+        )
+
+
+class RegionUse(NamedTuple):
+    """Weight units in flight in a region."""
+
+    region: str
+    weight: int
+
+
+class ServiceUse(NamedTuple):
+    """Requests in flight of a service."""
+
+    service: str
+    in_flight: int
+
+
+class Usage(NamedTuple):
+    """What is in use at the moment, as far as it is known."""
+
+    regions: tuple[RegionUse, ...] = ()
+    services: tuple[ServiceUse, ...] = ()
+
+    def weight(self, region: str) -> int:
+        """Returns the weight units in flight in a region."""
+        return sum(u.weight for u in self.regions if u.region == region)
+
+    def in_flight(self, service: str) -> int:
+        """Returns the requests in flight of a service."""
+        return sum(u.in_flight for u in self.services if u.service == service)
+
+    def at_least(self, other: "Usage") -> "Usage":
+        """Returns the larger figure of two views of the same moment."""
+        regions = {u.region for u in self.regions + other.regions}
+        services = {u.service for u in self.services + other.services}
+        return Usage(
+            tuple(
+                RegionUse(name, max(self.weight(name), other.weight(name)))
+                for name in sorted(regions)
+            ),
+            tuple(
+                ServiceUse(
+                    name, max(self.in_flight(name), other.in_flight(name))
+                )
+                for name in sorted(services)
+            ),
+        )
+
+
+class Difference(NamedTuple):
+    """One thing that a change makes different.
+
+    Attributes:
+        place: What changes, such as ``regions.austro.cap``.
+        before: Its value before, as text; empty when absent.
+        after: Its value after, as text; empty when absent.
+    """
+
+    place: str
+    before: str
+    after: str
+
+
+class Preview(NamedTuple):
+    """What a change would do if it were made now.
+
+    Attributes:
+        version: Version on which the preview was made.
+        findings: What is wrong with the change.
+        differences: What it would make different.
+        strains: Promises that it would strain.
+    """
+
+    version: int
+    findings: tuple[Finding, ...] = ()
+    differences: tuple[Difference, ...] = ()
+    strains: tuple[Strain, ...] = ()
+
+    def unforced(self, forced: tuple[str, ...]) -> tuple[Strain, ...]:
+        """Returns the strains that the operator did not accept by name."""
+        return tuple(s for s in self.strains if s.promise not in forced)
+
+
+def preview(
+    intent: Intent, operations: tuple[Operation, ...], usage: Usage
+) -> Preview:
+    """Returns what operations would do to an intent that is in use.
+
+    Args:
+        intent: Intent in force.
+        operations: Operations of the change.
+        usage: What is in use at the moment.
+
+    Examples:
+        >>> from sardinewheel_core.intent import Region
+        >>> define = DefineRegion(Region("austro", 40, ("cuenca-centro",)))
+        >>> preview(Intent.empty(), (define,), Usage()).differences[0].place
+        'regions.austro'
+    """
+    change = Change(intent.version + 1, "preview", "", operations)
+    try:
+        changed = apply_change(intent, change)
+    except ChangeRejectedError as error:
+        return Preview(intent.version, findings=error.findings)
+    strains = [
+        *_room_strains(intent, changed, usage),
+        *_host_strains(intent, changed),
+        *_cap_strains(changed, operations, usage),
+        *_removal_strains(operations, usage),
+    ]
+    return Preview(
+        intent.version,
+        differences=differences(intent, changed),
+        strains=tuple(dict.fromkeys(strains)),
+    )
+
+
+def force_findings(forced: tuple[str, ...]) -> tuple[Finding, ...]:
+    """Returns a finding for each forced name that is no promise."""
+    known = tuple(str(promise) for promise in Promise)
+    return tuple(
+        Finding(f"force[{index}]", repr(name), f"one of {known}")
+        for index, name in enumerate(forced)
+        if name not in known
+    )
+
+
+def differences(before: Intent, after: Intent) -> tuple[Difference, ...]:
+    """Returns what differs between two intents, ordered by place."""
+    found: list[Difference] = []
+    for name in Intent._fields:
+        old, new = getattr(before, name), getattr(after, name)
+        if isinstance(old, Mapping):
+            found += _mapping_differences(name, old, new)
+    return tuple(found)
+
+
+def _mapping_differences(
+    place: str, old: Mapping, new: Mapping
+) -> list[Difference]:
+    found: list[Difference] = []
+    for key in sorted(old.keys() | new.keys()):
+        name = ".".join(key) if isinstance(key, tuple) else key
+        where = f"{place}.{name}"
+        if key in old and key in new:
+            found += _value_differences(where, old[key], new[key])
+        else:
+            found.append(
+                Difference(where, _text(old.get(key)), _text(new.get(key)))
+            )
+    return found
+
+
+def _value_differences(place: str, old, new) -> list[Difference]:
+    found: list[Difference] = []
+    for field in old._fields:
+        before, after = getattr(old, field), getattr(new, field)
+        where = f"{place}.{field}"
+        if before == after:
+            continue
+        if isinstance(before, Mapping):
+            found += _mapping_differences(where, before, after)
+        else:
+            found.append(Difference(where, _text(before), _text(after)))
+    return found
+
+
+def _text(value) -> str:
+    if value is None:
+        return ""
+    if not hasattr(value, "_fields"):
+        return str(value)
+    fields = zip(value._fields, value, strict=True)
+    plain = ((k, v) for k, v in fields if not isinstance(v, Mapping))
+    return " ".join(f"{name}={item}" for name, item in plain)
+
+
+def _open_slots(intent: Intent, service: Service) -> int:
+    return sum(
+        target.slots
+        for target in service.targets.values()
+        if not intent.is_drained(Subject.TARGET, target.name)
+    )
+
+
+def _open_regions(intent: Intent, service: Service) -> set[str]:
+    """Returns the regions with a target of the service that takes work."""
+    regions = {
+        intent.region_of(target.domain)
+        for target in service.targets.values()
+        if not intent.is_drained(Subject.TARGET, target.name)
+    }
+    return {region for region in regions if region is not None}
+
+
+def _room_strains(before: Intent, after: Intent, usage: Usage) -> list[Strain]:
+    """Checks that each service that loses targets keeps enough room."""
+    strains = []
+    for name, old in before.services.items():
+        new = after.services.get(name)
+        if new is None:
+            continue
+        had, left = _open_slots(before, old), _open_slots(after, new)
+        reserved = sum(kind.reserved for kind in new.kinds.values())
+        needed = max(usage.in_flight(name), round(reserved * had))
+        if left < had and left < max(needed, 1):
+            strains.append(_room(f"service {name}", "slots", needed, left))
+        lost = _open_regions(before, old) - _open_regions(after, new)
+        if lost:
+            strains += _region_strains(before, after, new, usage)
+    return strains
+
+
+def _region_strains(
+    before: Intent, after: Intent, service: Service, usage: Usage
+) -> list[Strain]:
+    """Checks that the remaining regions have the cap for what is in flight."""
+    old = before.services[service.name]
+    needed = sum(usage.weight(r) for r in _open_regions(before, old))
+    open_regions = _open_regions(after, service)
+    left = sum(after.regions[region].cap for region in open_regions)
+    if left >= max(needed, 1):
+        return []
+    subject = f"service {service.name}"
+    return [_room(subject, "weight units of cap", needed, left)]
+
+
+def _room(subject: str, unit: str, needed: int, left: int) -> Strain:
+    return Strain(Promise.DRAIN_ROOM, subject, unit, max(needed, 1), left)
+
+
+def _host_strains(before: Intent, after: Intent) -> list[Strain]:
+    """Checks that each region keeps an entry host that takes requests."""
+    strains = []
+    for name in before.regions:
+        had = _open_seats(before, name)
+        left = _open_seats(after, name) if name in after.regions else 0
+        if had and not left:
+            strains.append(_room(f"region {name}", "entry hosts", 1, 0))
+    return strains
+
+
+def _open_seats(intent: Intent, region: str) -> int:
+    return sum(
+        not intent.is_drained(Subject.ENTRY_HOST, seat.name)
+        for seat in intent.seats_of_region(region)
+    )
+
+
+def _cap_strains(
+    after: Intent, operations: tuple[Operation, ...], usage: Usage
+) -> list[Strain]:
+    """Checks caps against what is, or is to be, in flight under them."""
+    strains = []
+    for operation in operations:
+        match operation:
+            case SetCap(region) | DefineRegion((region, *_)):
+                needed = usage.weight(region)
+            case StartShift(shift):
+                region = shift.destination
+                moved = shift.share * usage.weight(shift.source)
+                needed = usage.weight(region) + round(moved)
+            case _:
+                continue
+        cap = after.regions[region].cap
+        if cap < needed:
+            strains.append(
+                Strain(
+                    Promise.REGION_CAP,
+                    f"region {region}",
+                    "weight units",
+                    needed,
+                    cap,
+                )
+            )
+    return strains
+
+
+def _removal_strains(
+    operations: tuple[Operation, ...], usage: Usage
+) -> list[Strain]:
+    """Checks that no service is removed while it has requests in flight."""
+    return [
+        Strain(
+            Promise.SERVICE_IN_USE,
+            f"service {operation.name}",
+            "requests in flight",
+            usage.in_flight(operation.name),
+            0,
+        )
+        for operation in operations
+        if isinstance(operation, RemoveService)
+        and usage.in_flight(operation.name)
+    ]
--- /dev/null
+++ b/packages/core/sardinewheel_core/views.py
@@ -0,0 +1,268 @@
+"""What one entry host shows to operators: typed, read-only views."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from sardinewheel_core.decisions import Decision
+from sardinewheel_core.intent import Intent
+from sardinewheel_core.messages import HostState
+from sardinewheel_core.preview import RegionUse, ServiceUse, Usage
+from sardinewheel_core.targets import TargetState
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+MAX_DECISIONS_SHOWN = 200
+
+
+class HostView(NamedTuple):
+    """An entry host as another one sees it.
+
+    Attributes:
+        name: Seat that it occupies.
+        incarnation: Start of its process, in nanoseconds.
+        domain: Its failure domain.
+        http_address: ``host:port`` of its HTTP interface.
+        phase: Its phase, as last heard.
+        version: Configuration version in force there, as last heard.
+        age_s: Seconds since it was last heard of.
+        alive: Whether it was heard of recently.
+    """
+
+    name: str
+    incarnation: int
+    domain: str
+    http_address: str
+    phase: str
+    version: int
+    age_s: float
+    alive: bool
+
+
+class View(NamedTuple):
+    """What is in force on one entry host, and whom it sees.
+
+    Attributes:
+        host: Name of the host.
+        phase: Its phase.
+        version: Configuration version in force there.
+        intent: The intent in force there.
+        hosts: Every host that it heard of, itself included.
+        unseen: Seats in the intent of which it sees no live host.
+    """
+
+    host: str
+    phase: str
+    version: int
+    intent: Intent
+    hosts: tuple[HostView, ...]
+    unseen: tuple[str, ...]
+
+
+class TargetUse(NamedTuple):
+    """Use of a target by the entry host that dispatches to it.
+
+    Attributes:
+        name: Name of the target.
+        service: Service it belongs to.
+        slots: Requests it executes at a time, as configured.
+        limit: Requests that the host would have in flight there now.
+        in_flight: Requests that the host has in flight there.
+        leaving: Whether it is being emptied.
+    """
+
+    name: str
+    service: str
+    slots: int
+    limit: int
+    in_flight: int
+    leaving: bool
+
+
+class ServiceLoad(NamedTuple):
+    """Room of a service on one entry host.
+
+    Attributes:
+        service: Name of the service.
+        slots: Slots of the targets that the host dispatches to.
+        free: Requests that fit now.
+        in_flight: Requests in flight at those targets.
+        waiting: Requests that wait on the host.
+    """
+
+    service: str
+    slots: int
+    free: int
+    in_flight: int
+    waiting: int
+
+
+class HeadroomView(NamedTuple):
+    """The room that one entry host sees.
+
+    Attributes:
+        host: Name of the host.
+        region: Its region, or empty while it is not configured.
+        version: Configuration version in force there.
+        cap: Cap of the region, in weight units in flight.
+        share: Units of the cap that the host's seat holds.
+        limit: Units that it may have in flight now, loans included.
+        in_flight: Units that it has in flight.
+        services: Room by service.
+        targets: Use of the targets that it dispatches to.
+    """
+
+    host: str
+    region: str
+    version: int
+    cap: int
+    share: int
+    limit: int
+    in_flight: int
+    services: tuple[ServiceLoad, ...]
+    targets: tuple[TargetUse, ...]
+
+
+class DecisionView(NamedTuple):
+    """A decision of a host.
+
+    Attributes:
+        age_s: Seconds since it was taken.
+        event: What was decided.
+        version: Configuration version in force at the time.
+        fields: The figures used, as pairs of name and value.
+    """
+
+    age_s: float
+    event: str
+    version: int
+    fields: tuple[tuple[str, str | int | float], ...]
+
+
+class DecisionsView(NamedTuple):
+    """Decisions of one host, oldest first."""
+
+    host: str
+    version: int
+    decisions: tuple[DecisionView, ...]
+
+
+def view(host: "EntryHost", now: float) -> View:
+    """Returns what is in force on a host and whom it sees."""
+    hosts = host_views(host, now)
+    seen = {h.name for h in hosts if h.alive}
+    intent = host.configuration.intent
+    return View(
+        host=host.identity.name,
+        phase=str(host.phase),
+        version=intent.version,
+        intent=intent,
+        hosts=hosts,
+        unseen=tuple(sorted(set(intent.seats) - seen)),
+    )
+
+
+def host_views(host: "EntryHost", now: float) -> tuple[HostView, ...]:
+    """Returns every host that a host heard of, ordered by name."""
+    membership = host.membership
+    own = membership.own._replace(version=host.configuration.version)
+    views = [_host_view(own, age_s=0.0, alive=True)]
+    for name, state in membership.states.items():
+        age_s = now - membership.heard_at[name]
+        alive = membership.is_alive(now, name)
+        views.append(_host_view(state, age_s=age_s, alive=alive))
+    return tuple(sorted(views))
+
+
+def _host_view(state: HostState, *, age_s: float, alive: bool) -> HostView:
+    return HostView(
+        name=state.name,
+        incarnation=state.incarnation,
+        domain=state.domain,
+        http_address=state.http_address,
+        phase=str(state.phase),
+        version=state.version,
+        age_s=round(age_s, 3),
+        alive=alive,
+    )
+
+
+def headroom(host: "EntryHost", now: float) -> HeadroomView:
+    """Returns the room that a host sees."""
+    intent = host.configuration.intent
+    region = host.region
+    return HeadroomView(
+        host=host.identity.name,
+        region=region or "",
+        version=intent.version,
+        cap=intent.regions[region].cap if region else 0,
+        share=host.allowance.share,
+        limit=host.allowance.limit(now),
+        in_flight=host.allowance.in_flight,
+        services=tuple(
+            _service_load(host, now, service) for service in intent.services
+        ),
+        targets=tuple(
+            _target_use(state, now) for state in host.targets.states.values()
+        ),
+    )
+
+
+def usage(host: "EntryHost") -> Usage:
+    """Returns what is in use as far as this host alone knows."""
+    region = host.region
+    regions = ()
+    if region is not None:
+        regions = (RegionUse(region, host.allowance.in_flight),)
+    services = (
+        ServiceUse(name, _in_flight(host, name))
+        for name in host.configuration.intent.services
+    )
+    return Usage(regions, tuple(services))
+
+
+def decisions_about(host: "EntryHost", now: float, name: str) -> DecisionsView:
+    """Returns the latest decisions in which a name takes part."""
+    return _decisions(host, now, host.decisions.about(name))
+
+
+def repairs(host: "EntryHost", now: float) -> DecisionsView:
+    """Returns the latest repairs that a host made."""
+    return _decisions(host, now, host.decisions.repairs())
+
+
+def _decisions(
+    host: "EntryHost", now: float, decisions: list[Decision]
+) -> DecisionsView:
+    views = (
+        DecisionView(round(now - d.at, 3), d.event, d.version, d.fields)
+        for d in decisions[-MAX_DECISIONS_SHOWN:]
+    )
+    return DecisionsView(
+        host.identity.name, host.configuration.version, tuple(views)
+    )
+
+
+def _service_load(host: "EntryHost", now: float, service: str) -> ServiceLoad:
+    states = host.targets.of_service(service)
+    return ServiceLoad(
+        service=service,
+        slots=sum(s.target.slots for s in states if not s.leaving),
+        free=host.targets.free(service, now),
+        in_flight=sum(s.in_flight for s in states),
+        waiting=len(host.line(service)),
+    )
+
+
+def _in_flight(host: "EntryHost", service: str) -> int:
+    return sum(s.in_flight for s in host.targets.of_service(service))
+
+
+def _target_use(state: TargetState, now: float) -> TargetUse:
+    return TargetUse(
+        name=state.target.name,
+        service=state.service,
+        slots=state.target.slots,
+        limit=state.room_limit(now),
+        in_flight=state.in_flight,
+        leaving=state.leaving,
+    )
--- a/packages/entry/sardinewheel_entry/api/app.py
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -2,8 +2,8 @@
 
 import falcon
 
+from sardinewheel_entry.api import operators
 from sardinewheel_entry.api.lookups import LookupResource
-from sardinewheel_entry.api.operators import ChangesResource, StatusResource
 from sardinewheel_entry.api.requests import RequestsResource
 from sardinewheel_entry.driver import Driver
 
@@ -13,6 +13,5 @@
     app = falcon.App()
     app.add_route("/v1/lookup", LookupResource(driver))
     app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
-    app.add_route("/v1/changes", ChangesResource(driver))
-    app.add_route("/v1/status", StatusResource(driver))
+    operators.add_routes(app, driver)
     return app
--- a/packages/entry/sardinewheel_entry/api/operators.py
+++ b/packages/entry/sardinewheel_entry/api/operators.py
@@ -1,46 +1,35 @@
-"""What operators ask and change, through any entry host."""
+"""What operators ask of an entry host, and the routes to it."""
 
 import time
-import uuid
 
 import falcon
-from sardinewheel_core.change import Operation
-from sardinewheel_core.codec import from_plain, to_plain
-from sardinewheel_core.effects import ChangeProposed, ProposalState
-from sardinewheel_core.errors import MessageError
+from sardinewheel_core import views
+from sardinewheel_core.codec import to_plain
+from sardinewheel_core.errors import Finding, RequestError
 from sardinewheel_core.messages import Phase
 
+from sardinewheel_entry.api import media
+from sardinewheel_entry.api.changes import (
+    ChangeResource,
+    ChangesResource,
+    VersionsResource,
+)
 from sardinewheel_entry.driver import Driver
 
 
-class ChangesResource:
-    """``POST /v1/changes``: change the intent."""
-
-    def __init__(self, driver: Driver):
-        self.driver = driver
-
-    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Proposes a change and says how that ended."""
-        plain = req.get_media()
-        try:
-            operations = tuple(
-                from_plain(item, Operation, f"operations[{index}]")
-                for index, item in enumerate(plain["operations"])
-            )
-        except MessageError as error:
-            raise falcon.HTTPBadRequest(description=str(error)) from error
-        ended = self.driver.propose(
-            ChangeProposed(
-                0,
-                plain.get("change_id") or str(uuid.uuid4()),
-                plain.get("author", ""),
-                plain.get("base_version", 0),
-                operations,
-            )
-        )
-        resp.media = to_plain(ended)
-        if ended.state is not ProposalState.ACCEPTED:
-            resp.status = falcon.HTTP_409
+def add_routes(app: falcon.App, driver: Driver) -> None:
+    """Adds the operators' routes to an application."""
+    app.add_error_handler(RequestError, media.give_problem)
+    app.add_route("/v1/changes", ChangesResource(driver))
+    app.add_route("/v1/changes/{change_id}", ChangeResource(driver))
+    app.add_route("/v1/versions", VersionsResource(driver))
+    app.add_route("/v1/status", StatusResource(driver))
+    app.add_route("/v1/view", ViewResource(driver))
+    app.add_route("/v1/hosts", HostsResource(driver))
+    app.add_route("/v1/headroom", HeadroomResource(driver))
+    app.add_route("/v1/traffic", TrafficResource(driver))
+    app.add_route("/v1/explain", ExplainResource(driver))
+    app.add_route("/v1/repairs", RepairsResource(driver))
 
 
 class StatusResource:
@@ -60,3 +49,75 @@
             "intent": to_plain(host.configuration.intent),
             "hosts": [to_plain(s) for s in host.membership.alive(now)],
         }
+
+
+class ViewResource:
+    """``GET /v1/view``: what is in force on this host and whom it sees."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with this host's view."""
+        media.give(resp, views.view(self.driver.host, time.monotonic()))
+
+
+class HostsResource:
+    """``GET /v1/hosts``: each entry host, its version and its age."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with every host that this one heard of."""
+        media.give(resp, views.host_views(self.driver.host, time.monotonic()))
+
+
+class HeadroomResource:
+    """``GET /v1/headroom``: the room that this host sees."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with caps, shares and use."""
+        media.give(resp, views.headroom(self.driver.host, time.monotonic()))
+
+
+class TrafficResource:
+    """``GET /v1/traffic``: where traffic flows through this host."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the counts of the last minutes."""
+        name = self.driver.host.identity.name
+        media.give(resp, self.driver.traffic.view(time.monotonic(), name))
+
+
+class ExplainResource:
+    """``GET /v1/explain?about=...``: decisions in which a name takes part."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the decisions, oldest first."""
+        about = req.get_param("about", default="")
+        if not about:
+            finding = Finding("about", "nothing", "a name or a request id")
+            raise RequestError((finding,))
+        host = self.driver.host
+        media.give(resp, views.decisions_about(host, time.monotonic(), about))
+
+
+class RepairsResource:
+    """``GET /v1/repairs``: what this host mended."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the latest repairs, oldest first."""
+        media.give(resp, views.repairs(self.driver.host, time.monotonic()))
--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -30,6 +30,7 @@
 from sardinewheel_core.host import EntryHost, Identity
 from sardinewheel_core.messages import Message
 from sardinewheel_core.request import Answer, Request
+from sardinewheel_core.traffic import TrafficCounter
 
 from sardinewheel_entry.attempts import AttemptRunner, Payload
 from sardinewheel_entry.http_exchange import HttpResponse
@@ -51,6 +52,7 @@
         links: Connections to other entry hosts.
         platform: Client of the platform's services.
         stopped: Set when the host has finished leaving.
+        traffic: Counts where traffic flows.
     """
 
     def __init__(self, *, identity: Identity, platform: PlatformClient):
@@ -67,6 +69,7 @@
         self.payloads: dict[str, Payload] = {}
         self.responses: dict[int, HttpResponse] = {}
         self.last_id = 0
+        self.traffic = TrafficCounter(started_at=time.monotonic())
 
     def run(self) -> None:
         """Ticks until the host has finished leaving."""
@@ -106,6 +109,7 @@
 
     def carry_out(self, effect: Effect) -> None:
         """Carries out one effect; nothing here waits."""
+        self.traffic.observe(time.monotonic(), self.host, effect)
         match effect:
             case Dispatch():
                 payload = self.payloads[effect.request.id]
