--- a/packages/entry/sardinewheel_entry/api/changes.py
+++ b/packages/entry/sardinewheel_entry/api/changes.py
@@ -7,7 +7,7 @@
 import gevent
 from sardinewheel_core import views
 from sardinewheel_core.change import Change
-from sardinewheel_core.effects import ChangeProposed, ProposalEnded
+from sardinewheel_core.effects import ChangeAsked, ChangeProposed, ProposalEnded
 from sardinewheel_core.operator_messages import (
     ChangeReply,
     ChangeRequest,
@@ -46,7 +46,7 @@
         give_reply(resp, self._answer(request))
 
     def _answer(self, request: ChangeRequest) -> ChangeReply:
-        if self._is_in_force(request.change_id):
+        if self.driver.host.configuration.by_id(request.change_id):
             return self._propose(request)
         self._wait_for_base(request.base_version)
         winner = self._winner(request)
@@ -72,10 +72,6 @@
         intent = host.configuration.intent
         return preview(intent, request.operations, usage)
 
-    def _is_in_force(self, change_id: str) -> bool:
-        changes = self.driver.host.configuration.changes.values()
-        return any(change.change_id == change_id for change in changes)
-
     def _winner(self, request: ChangeRequest) -> Change | None:
         """Returns the change that followed the operator's version, if any."""
         if not request.base_version:
@@ -121,14 +117,9 @@
     def on_get(
         self, req: falcon.Request, resp: falcon.Response, change_id: str
     ) -> None:
-        """Answers with the version that the id created, if any."""
-        for change in self.driver.host.configuration.changes.values():
-            if change.change_id == change_id:
-                state = ChangeState.ACCEPTED
-                reply = ChangeReply(state, change_id, change.version)
-                give_reply(resp, reply)
-                return
-        give_reply(resp, ChangeReply(ChangeState.ABSENT, change_id))
+        """Answers accepted with the version, absent, or unknown."""
+        ended = self.driver.propose(ChangeAsked(0, change_id))
+        give_reply(resp, reply_of(ended, change_id))
 
 
 class VersionsResource:
