--- a/packages/cli/sardinewheel_cli/explanations.py
+++ b/packages/cli/sardinewheel_cli/explanations.py
@@ -1,24 +1,52 @@
-"""Decisions of all entry hosts about one thing, in order of time."""
+"""Why something is as it is: changes, figures, and decisions of all hosts."""
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
 
-from sardinewheel_core.codec import to_plain
+from sardinewheel_core.change import Change
+from sardinewheel_core.codec import from_plain, to_plain
+from sardinewheel_core.touching import things_touched
 from sardinewheel_core.views import DecisionsView
 
+from sardinewheel_cli import rooms
 from sardinewheel_cli.commands import Explain
+from sardinewheel_cli.formatter import format_operation
 from sardinewheel_cli.rollouts import unseen_notes
 from sardinewheel_cli.tables import Grid, Output
 
 if TYPE_CHECKING:
     from sardinewheel_cli.session import Session
 
-COLUMNS = ("seconds ago", "host", "version", "decision", "figures")
+REQUEST = "request"
+REQUEST_FIELD = "request_id"
+THING_SORTS = {"host": "entry-host"}
+DECISION_COLUMNS = ("seconds ago", "host", "version", "decision", "figures")
+CHANGE_COLUMNS = ("version", "author", "command")
+
+
+class Row(NamedTuple):
+    """One row of decisions; alike decisions about requests share a row."""
+
+    age_s: float
+    host: str
+    version: int
+    event: str
+    figures: str
 
 
 def explain(session: "Session", statement: Explain) -> Output:
-    """Returns the decisions about a request, service, region or place."""
-    title = f"decisions about {statement.sort} {statement.name}"
-    return _decisions(session, title, "/v1/explain", about=statement.name)
+    """Returns the changes, figures and decisions about something."""
+    name, sort = statement.name, statement.sort
+    output = _decisions(
+        session, f"decisions about {sort} {name}", "/v1/explain", about=name
+    )
+    if sort == REQUEST:
+        return output
+    changes = _changes(session, sort, name)
+    figures = rooms.figures(session, sort, name)
+    media = {**output.media, "changes": changes.media, **figures.media}
+    grids = (*changes.grids, *figures.grids, *output.grids)
+    return Output(media, grids, output.notes)
 
 
 def repairs(session: "Session") -> Output:
@@ -26,18 +54,28 @@
     return _decisions(session, "repairs", "/v1/repairs")
 
 
+def _changes(session: "Session", sort: str, name: str) -> Output:
+    """Returns the latest changes that touched a thing."""
+    chain = from_plain(session.fetch("/v1/versions"), tuple[Change, ...])
+    thing = (THING_SORTS.get(sort, sort), name)
+    rows = [
+        (change.version, change.author, format_operation(o).split("\n")[0])
+        for change in chain
+        for o in change.operations
+        if thing in things_touched((o,))
+    ]
+    grid = Grid(f"changes that touch {sort} {name}", CHANGE_COLUMNS, rows)
+    media = [dict(zip(CHANGE_COLUMNS, row, strict=True)) for row in rows]
+    return Output(media, (grid,))
+
+
 def _decisions(
     session: "Session", title: str, path: str, **parameters: str
 ) -> Output:
     view = session.view()
     answers, silent = session.ask_each(view, path, DecisionsView, **parameters)
-    rows = [
-        (d.age_s, answer.host, d.version, d.event, _figures(d.fields))
-        for answer in answers
-        for d in answer.decisions
-    ]
-    rows.sort(reverse=True)
-    grid = Grid(title, COLUMNS, tuple(rows))
+    rows = _rows(answers)
+    grid = Grid(title, DECISION_COLUMNS, tuple(rows))
     media = {
         "decisions": [
             {"host": answer.host, **to_plain(decision)}
@@ -47,8 +85,38 @@
         "silent": silent,
         "unseen": view.unseen,
     }
-    return Output(media, (grid,), unseen_notes(view, silent))
+    notes = unseen_notes(view, silent)
+    return Output(media, (grid,), notes)
+
+
+def _rows(answers: list[DecisionsView]) -> list[Row]:
+    """Returns the decisions, oldest first; alike ones as one row."""
+    counts: Counter[tuple] = Counter()
+    latest: dict[tuple, Row] = {}
+    for answer in answers:
+        for decision in answer.decisions:
+            fields = decision.fields
+            key = (
+                answer.host,
+                decision.event,
+                decision.version,
+                tuple(f for f in fields if f[0] != REQUEST_FIELD),
+            )
+            counts[key] += 1
+            if key not in latest or decision.age_s < latest[key].age_s:
+                latest[key] = Row(
+                    decision.age_s,
+                    answer.host,
+                    decision.version,
+                    decision.event,
+                    " ".join(f"{field}={value}" for field, value in fields),
+                )
+    rows = [
+        row._replace(event=_times(row.event, counts[key]))
+        for key, row in latest.items()
+    ]
+    return sorted(rows, reverse=True)
 
 
-def _figures(fields: tuple) -> str:
-    return " ".join(f"{name}={value}" for name, value in fields)
+def _times(event: str, count: int) -> str:
+    return event if count == 1 else f"{event} ({count} alike)"
--- a/packages/cli/sardinewheel_cli/rooms.py
+++ b/packages/cli/sardinewheel_cli/rooms.py
@@ -45,30 +45,56 @@
     return Output(media, grids, unseen_notes(view, silent))
 
 
+def figures(session: "Session", sort: str, name: str) -> Output:
+    """Returns the figures at the moment of a service, region or place."""
+    view = session.view()
+    answers, _ = session.ask_each(view, "/v1/headroom", HeadroomView)
+    match sort:
+        case "service":
+            loads = [load for load in _loads(answers) if load[0] == name]
+            grid = Grid("room in requests", SERVICE_COLUMNS, tuple(loads))
+        case "region":
+            grid = _regions(view.intent, answers, name)
+        case "host":
+            grid = _hosts([a for a in answers if a.host == name])
+        case _:
+            grid = _targets(view.intent, answers, name)
+    rows = [dict(zip(grid.columns, row, strict=True)) for row in grid.rows]
+    return Output({"figures": rows}, (grid,))
+
+
 def targets(session: "Session", view: View, service: Service) -> Output:
     """Returns the targets of a service with their use."""
     answers, silent = session.ask_each(view, "/v1/headroom", HeadroomView)
+    grid = _targets(view.intent, answers, *service.targets)
+    media = {
+        "targets": [
+            dict(zip(TARGET_COLUMNS, row, strict=True)) for row in grid.rows
+        ]
+    }
+    return Output(media, (grid,), unseen_notes(view, silent))
+
+
+def _targets(intent: Intent, answers: list[HeadroomView], *names: str) -> Grid:
     uses = {use.name: (a.host, use) for a in answers for use in a.targets}
     rows = []
-    for target in service.targets.values():
-        host, use = uses.get(target.name, ("nobody seen", None))
-        drained = view.intent.is_drained(Subject.TARGET, target.name)
-        limit = use.limit if use else 0
-        in_flight = use.in_flight if use else 0
+    for name in names:
+        target = intent.target(name)
+        if target is None:
+            continue
+        host, use = uses.get(name, ("no host seen", None))
         rows.append(
             (
-                target.name,
+                name,
                 target.domain,
                 target.slots,
-                limit,
-                in_flight,
-                drained,
+                use.limit if use else 0,
+                use.in_flight if use else 0,
+                intent.is_drained(Subject.TARGET, name),
                 host,
             )
         )
-    grid = Grid(f"targets of {service.name}", TARGET_COLUMNS, tuple(rows))
-    media = {"uses": [to_plain(use) for _, use in uses.values()]}
-    return Output(media, (grid,), unseen_notes(view, silent))
+    return Grid("targets", TARGET_COLUMNS, tuple(rows))
 
 
 def _regions(intent: Intent, answers: list[HeadroomView], only: str) -> Grid:
@@ -93,6 +119,11 @@
 
 
 def _services(answers: list[HeadroomView]) -> Grid:
+    return Grid("room in requests", SERVICE_COLUMNS, _loads(answers))
+
+
+def _loads(answers: list[HeadroomView]) -> tuple[tuple, ...]:
+    """Returns rows of the room by service and region."""
     sums: dict[tuple[str, str], list[int]] = {}
     for answer in answers:
         for load in answer.services:
@@ -100,8 +131,7 @@
             figures = (load.slots, load.free, load.in_flight, load.waiting)
             for index, figure in enumerate(figures):
                 total[index] += figure
-    rows = tuple((*key, *total) for key, total in sorted(sums.items()))
-    return Grid("room in requests", SERVICE_COLUMNS, rows)
+    return tuple((*key, *total) for key, total in sorted(sums.items()))
 
 
 def _hosts(answers: list[HeadroomView]) -> Grid:
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -9,7 +9,14 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from sardinewheel_core import control, pipeline, proposals, rollout, stopping
+from sardinewheel_core import (
+    control,
+    pipeline,
+    proposals,
+    request_decisions,
+    rollout,
+    stopping,
+)
 from sardinewheel_core.allowance import Allowance
 from sardinewheel_core.blocks import BlockTable
 from sardinewheel_core.configuration import Configuration
@@ -132,6 +139,7 @@
                 control.on_load(self, now, event)
             case StopOrdered():
                 stopping.on_stop(self, now)
+        request_decisions.record(self, now)
         return self.effects
 
     def look_up(self, now: float, *, service: str, block: str) -> LookupAnswer:
