--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -13,6 +13,7 @@
     control,
     pipeline,
     proposals,
+    request_decisions,
     rollout,
     stopping,
 )
@@ -154,6 +155,7 @@
                 control.on_load(self, now, event)
             case StopOrdered():
                 stopping.on_stop(self, now)
+        request_decisions.record(self, now)
         return self.effects
 
     def look_up(self, now: float, *, service: str, block: str) -> LookupAnswer:
