--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
 	touch $@
 
+demo: setup
+	$(BIN)/python -m sardinewheel_testing.demo settings/$(HOUSE)
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/packages/testing/sardinewheel_testing/caller.py
@@ -0,0 +1,173 @@
+"""Stand-in for the callers of one region: open-loop load on a schedule.
+
+The argument is a JSON file with the fields of :class:`CallerSettings`.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import NamedTuple  # noqa: E402
+
+import gevent  # noqa: E402
+
+from sardinewheel_testing.baselines import (  # noqa: E402
+    DirectSteering,
+    LeastLoad,
+    ListedTarget,
+    NoAdmission,
+    RoundRobin,
+)
+from sardinewheel_testing.calls import (  # noqa: E402
+    Call,
+    CallOutcome,
+    CallResult,
+    Rate,
+    Surge,
+    result_to_plain,
+    schedule,
+)
+from sardinewheel_testing.sardinewheel_steering import (  # noqa: E402
+    SardinewheelSteering,
+)
+from sardinewheel_testing.steering import (  # noqa: E402
+    Network,
+    Steering,
+    Trail,
+)
+
+GRACE_S = 8.0
+PROGRESS_S = 1.0
+
+
+class CallerSettings(NamedTuple):
+    """Settings of the callers of one region.
+
+    Attributes:
+        region: Region in which they are.
+        block: Address that they call from.
+        steering: ``sardinewheel``, ``round-robin``, ``least-load`` or
+            ``no-admission``.
+        entry_hosts: Pairs of address and region of each entry host.
+        targets: Fields of each listed target.
+        rates: Fields of each :class:`~sardinewheel_testing.calls.Rate`.
+        surges: Fields of each :class:`~sardinewheel_testing.calls.Surge`.
+        start_at: When the load starts, monotonic seconds.
+        seconds: How long the load lasts.
+        seed: Seed of the schedule.
+        output: File that the results are written to, as JSON.
+        clients: Number of callers that cache look-ups on their own.
+    """
+
+    region: str
+    block: str
+    steering: str
+    entry_hosts: list[list[str]]
+    targets: list[list[str]]
+    rates: list[list]
+    surges: list[list]
+    start_at: float
+    seconds: float
+    seed: int
+    output: str
+    clients: int = 20
+
+
+def create_steering(settings: CallerSettings) -> Steering:
+    """Returns the way that the settings name."""
+    targets = [ListedTarget(*fields) for fields in settings.targets]
+    regions = dict(settings.entry_hosts)
+    regions.update((t.address, t.region) for t in targets)
+    network = Network(region=settings.region, regions=regions)
+    rng = random.Random(f"{settings.seed}/{settings.region}")
+    if settings.steering == "sardinewheel":
+        near = [a for a, r in settings.entry_hosts if r == settings.region]
+        far = [a for a, r in settings.entry_hosts if r != settings.region]
+        return SardinewheelSteering(
+            network=network,
+            seeds=near + far[:1],
+            block=settings.block,
+            clients=settings.clients,
+            rng=rng,
+        )
+    policies = {
+        "round-robin": RoundRobin,
+        "no-admission": NoAdmission,
+        "least-load": lambda: LeastLoad(
+            network=network, targets=targets, rng=rng
+        ),
+    }
+    policy = policies[settings.steering]()
+    return DirectSteering(network=network, targets=targets, policy=policy)
+
+
+class Caller:
+    """Makes the calls of a schedule, each when it is due.
+
+    Attributes:
+        results: Results so far, by the index of the call.
+    """
+
+    def __init__(self, settings: CallerSettings):
+        self.settings = settings
+        self.steering = create_steering(settings)
+        self.results: dict[int, CallResult] = {}
+        self.calls = schedule(
+            [Rate(*fields) for fields in settings.rates],
+            [Surge(*fields) for fields in settings.surges],
+            seconds=settings.seconds,
+            seed=settings.seed,
+        )
+        self.prefix = f"{settings.region}.{settings.seed}"
+
+    def run(self) -> list[CallResult]:
+        """Makes every call and returns the results in order."""
+        reporter = gevent.spawn(self._report_progress)
+        running = []
+        for call in self.calls:
+            due_at = self.settings.start_at + call.at_s
+            gevent.sleep(max(0.0, due_at - time.monotonic()))
+            running.append(gevent.spawn(self._make, call, due_at))
+        longest_s = max([0.0, *(c.rate.deadline_s for c in self.calls)])
+        gevent.joinall(running, timeout=longest_s + GRACE_S)
+        reporter.kill()
+        self._write_progress()
+        return [self._result(call) for call in self.calls]
+
+    def _make(self, call: Call, due_at: float) -> None:
+        trail = Trail(call, prefix=self.prefix, due_at=due_at)
+        self.results[call.index] = self.steering.steer(trail)
+
+    def _result(self, call: Call) -> CallResult:
+        unanswered = CallResult(call, CallOutcome.UNANSWERED, 0.0, ())
+        return self.results.get(call.index, unanswered)
+
+    def _report_progress(self) -> None:
+        while True:
+            gevent.sleep(PROGRESS_S)
+            self._write_progress()
+
+    def _write_progress(self) -> None:
+        counts = dict.fromkeys(CallOutcome, 0)
+        for result in list(self.results.values()):
+            counts[result.outcome] += 1
+        path = Path(self.settings.output + ".progress")
+        path.write_text(json.dumps(counts), encoding="utf-8")
+
+
+def main() -> None:
+    """Runs the load of the file given as argument and writes the results."""
+    text = Path(sys.argv[1]).read_text(encoding="utf-8")
+    settings = CallerSettings(**json.loads(text))
+    results = Caller(settings).run()
+    plain = [result_to_plain(result) for result in results]
+    Path(settings.output).write_text(json.dumps(plain), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/testing/sardinewheel_testing/execution.py
+++ b/packages/testing/sardinewheel_testing/execution.py
@@ -115,6 +115,7 @@
         executions: How often each request id began to be executed.
         endings: How often each ending was seen.
         latest_at: When a request was last taken on, monotonic seconds.
+        empty_at: When the last request in flight ended, monotonic seconds.
     """
 
     def __init__(
@@ -132,6 +133,7 @@
         self.endings: Counter[str] = Counter()
         self.cancels: dict[str, Event] = {}
         self.latest_at = 0.0
+        self.empty_at = 0.0
         self.frozen_load = 0
 
     def set_behaviour(self, behaviour: Behaviour) -> None:
@@ -171,6 +173,7 @@
             "executions": dict(self.executions),
             "endings": dict(self.endings),
             "latest_at": self.latest_at,
+            "empty_at": self.empty_at,
             "in_flight": self.in_flight,
             "weight": self.meter.report(),
         }
@@ -200,6 +203,8 @@
 
     def _leave(self, work: Work) -> None:
         self.in_flight -= 1
+        if self.in_flight == 0:
+            self.empty_at = time.monotonic()
         self.meter.add(-work.weight)
         self.region.add(-work.weight)
 
--- a/packages/testing/sardinewheel_testing/link.py
+++ b/packages/testing/sardinewheel_testing/link.py
@@ -11,7 +11,6 @@
 import json  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
-from enum import StrEnum  # noqa: E402
 from pathlib import Path  # noqa: E402
 from typing import NamedTuple  # noqa: E402
 
@@ -23,27 +22,15 @@
 from sardinewheel_entry import addresses  # noqa: E402
 
 from sardinewheel_testing import servers  # noqa: E402
+from sardinewheel_testing.relays import (  # noqa: E402
+    RelaySettings,
+    State,
+)
 
 READ_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 
 
-class RelaySettings(NamedTuple):
-    """One relay.
-
-    Attributes:
-        name: Name, by which it is controlled.
-        listen: Address that it listens on.
-        to: Address that it connects to.
-        delay_s: One-way delay in seconds.
-    """
-
-    name: str
-    listen: str
-    to: str
-    delay_s: float = 0.0
-
-
 class Network(NamedTuple):
     """The relays of one process, and the address that controls them."""
 
@@ -51,22 +38,6 @@
     relays: list[dict]
 
 
-class State(StrEnum):
-    """What a relay does.
-
-    ``OPEN``: passes bytes on.
-    ``CUT``: closes its connections and refuses new ones.
-    ``FROZEN``: keeps connections open and passes nothing, for good; new ones
-    too.
-    ``SILENT``: as frozen for connections of before; new ones work.
-    """
-
-    OPEN = "open"
-    CUT = "cut"
-    FROZEN = "frozen"
-    SILENT = "silent"
-
-
 class Tunnel:
     """One relayed connection.
 
--- a/packages/testing/sardinewheel_testing/processes.py
+++ b/packages/testing/sardinewheel_testing/processes.py
@@ -122,9 +122,21 @@
     return Process(command, log_file=log_file)
 
 
-def entry_host(settings: dict, *, folder: Path) -> Process:
-    """Starts an entry host with settings, written to a folder."""
+def entry_host(
+    settings: dict, *, folder: Path, routes_file: Path | None = None
+) -> Process:
+    """Starts an entry host with settings, written to a folder.
+
+    Args:
+        settings: Settings of the host.
+        folder: Folder for the settings and the log.
+        routes_file: File that maps addresses to relays, if its connections
+            go through the link stand-in.
+    """
     path = folder / f"{settings['name']}.json"
     path.write_text(json.dumps(settings), encoding="utf-8")
     command = [str(BIN / "sardinewheeld"), str(path)]
+    if routes_file is not None:
+        module = "sardinewheel_testing.routed_entry_host"
+        command = [sys.executable, "-m", module, str(routes_file), str(path)]
     return Process(command, log_file=folder / f"{settings['name']}.log")
