Let a request wait in one line only; learn how long executions take

Cause: an overflowing request that found no room at the peer joined the peer's line, where its sender could only wait or give up; and the duration of executions started at 0.1 s and moved by a tenth, so work that needs a second was begun half a second before its deadline and ended unknown (10 of 90 simultaneous confirmations). Ruled out: longer deadlines for forwarded work. Change: a peer without room refuses overflow at once; the first execution sets the expected duration, and work is not begun later than mean plus two mean deviations before its deadline, unless nothing runs.

Statuses and cutting lists still end unknown in the surge: cause not found yet.

--- a/packages/core/sardinewheel_core/filters/admission.py
+++ b/packages/core/sardinewheel_core/filters/admission.py
@@ -21,6 +21,8 @@
     slots = host.targets.slots(request.service)
     if slots == 0:
         return refuse(host, now, exchange, Reason.NO_TARGET)
+    if _comes_too_late(host, now, exchange):
+        return refuse(host, now, exchange, Reason.DEADLINE)
     if _may_go_now(host, now, exchange, slots):
         target = host.targets.pick(
             request.service,
@@ -92,13 +94,34 @@
     return max((head.request.weight for head in heads), default=0)
 
 
+def _comes_too_late(host: "EntryHost", now: float, exchange: Exchange) -> bool:
+    """Says whether an execution begun now would probably miss the deadline.
+
+    While nothing runs one is let through, so that the duration that the host
+    believes in cannot stay wrong for want of executions.
+    """
+    line = host.line(exchange.request.service)
+    if not line.in_flight.total():
+        return False
+    return exchange.request.deadline - now < line.executions.likely_s
+
+
+def _is_overflow(exchange: Exchange) -> bool:
+    """Says whether another host keeps a place for it in its own line.
+
+    It waits there, not here, so that it waits in one line only and its sender
+    learns at once that the room it heard of is gone.
+    """
+    return exchange.request.hops > 0 and not exchange.is_owned
+
+
 def _wait_or_refuse(
     host: "EntryHost", now: float, exchange: Exchange, slots: int
 ) -> Verdict:
+    if _is_overflow(exchange):
+        return refuse(host, now, exchange, Reason.NO_ROOM)
     line = host.line(exchange.request.service)
-    slack_s = exchange.request.deadline - now - line.service_time_s
-    if slack_s < 0:
-        return refuse(host, now, exchange, Reason.DEADLINE)
+    slack_s = exchange.request.deadline - now - line.executions.likely_s
     if exchange.waiting_since is not None:
         if now - exchange.waiting_since > MAX_WAIT_S:
             return refuse(host, now, exchange, Reason.NO_ROOM)
--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -18,7 +18,7 @@
     """Returns the verdict "not run", with when and where to come back."""
     service = exchange.request.service
     line = host.line(service)
-    interval_s = line.service_time_s / max(1, host.targets.slots(service))
+    interval_s = line.executions.mean_s / max(1, host.targets.slots(service))
     after = line.returns.book(now, interval_s, host.rng)
     elsewhere = sorted(
         (s for s in host.membership.ready(now) if s.name != host.identity.name),
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -304,7 +304,7 @@
     if result.ending is Ending.ANSWERED:
         state.succeeded()
         line = host.line(exchange.request.service)
-        line.observe(result.duration_s)
+        line.executions.observe(result.duration_s)
     elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
         exchange.refused_by.add(state.target.name)
@@ -323,6 +323,9 @@
 
 
 def _spend_retry(host: "EntryHost", exchange: Exchange) -> bool:
+    if exchange.stage is Stage.FORWARDED:
+        # A peer without room costs the targets nothing.
+        return True
     return host.line(exchange.request.service).budget.spend()
 
 
--- a/packages/core/sardinewheel_core/queueing.py
+++ b/packages/core/sardinewheel_core/queueing.py
@@ -10,14 +10,13 @@
 
 from sardinewheel_core.retry_budget import RetryBudget
 from sardinewheel_core.returns import ReturnSchedule
+from sardinewheel_core.service_time import ServiceTime
 
 if TYPE_CHECKING:
     from sardinewheel_core.exchange import Exchange
 
 MAX_WAIT_S = 2.0
 MAX_WAITING = 64
-SERVICE_TIME_SMOOTHING = 0.1
-INITIAL_SERVICE_TIME_S = 0.1
 FAIR_TURN = 8
 
 
@@ -27,7 +26,7 @@
     Attributes:
         lines: Waiting exchanges by priority, each first come first served.
         in_flight: Dispatched requests by priority.
-        service_time_s: Smoothed duration of an execution.
+        executions: What is known of the duration of executions.
         turns: Exchanges taken out to be served so far.
         returns: When refused callers come back.
         budget: Retries that may be made.
@@ -36,7 +35,7 @@
     def __init__(self):
         self.lines: dict[int, deque[Exchange]] = {}
         self.in_flight: Counter[int] = Counter()
-        self.service_time_s = INITIAL_SERVICE_TIME_S
+        self.executions = ServiceTime()
         self.turns = 0
         self.returns = ReturnSchedule()
         self.budget = RetryBudget()
@@ -44,11 +43,6 @@
     def __len__(self) -> int:
         return sum(len(line) for line in self.lines.values())
 
-    def observe(self, duration_s: float) -> None:
-        """Learns from the duration of an execution."""
-        difference = duration_s - self.service_time_s
-        self.service_time_s += SERVICE_TIME_SMOOTHING * difference
-
     def ahead_of(self, priority: int) -> int:
         """Returns how many wait that are at least as urgent."""
         return sum(
@@ -58,7 +52,7 @@
     def expected_wait_s(self, priority: int, slots: int) -> float:
         """Returns the wait of a request that joins now, in seconds."""
         ahead = self.ahead_of(priority) + 1
-        return self.service_time_s * ahead / max(1, slots)
+        return self.executions.mean_s * ahead / max(1, slots)
 
     def push(self, exchange: "Exchange") -> None:
         """Adds an exchange at the end of its priority."""
--- a/tests/core/filters/test_admission.py
+++ b/tests/core/filters/test_admission.py
@@ -56,7 +56,7 @@
 
 
 def test_urgent_work_takes_the_place_of_the_least_urgent(bench):
-    bench.host.line("pedidos").service_time_s = 0.001
+    bench.host.line("pedidos").executions.observe(0.001)
     for _ in range(6):
         bench.request("confirm")
     for _ in range(MAX_WAITING):
@@ -107,3 +107,23 @@
     effects = bench.end(second.attempt_id, Ending.REFUSED)
     assert not dispatched(effects)
     assert len(refusals(effects)) == 1
+
+
+def test_overflow_of_another_host_is_refused_rather_than_kept_waiting(bench):
+    for _ in range(6):
+        bench.request("confirm")
+    effects = bench.request("confirm", hops=1, delegated=True)
+    assert [r.reason for r in refusals(effects)] == [Reason.NO_ROOM]
+
+
+def test_slow_executions_are_not_begun_shortly_before_the_deadline(
+    bench, dispatched
+):
+    running = [
+        d for _ in range(6) for d in dispatched(bench.request("confirm"))
+    ]
+    bench.request("confirm", deadline=bench.now + 1.5)
+    bench.now += 1.0
+    effects = bench.end(running[0].attempt_id, duration_s=1.0)
+    assert not dispatched(effects)
+    assert [r.reason for r in refusals(effects)] == [Reason.DEADLINE]
