Specify loans, seats and shares of region caps; prove each by induction

Three transition systems of z3 beside the core: a unit that is lent (loss, duplication, delay, reordering, crash of either side), a seat that is taken over (pause, wake, platform away), and shares that a change moves. Each is proved for any number of steps by an inductive invariant; thirteen broken variants are refuted with a shortest run. Tried first and ruled out: Spacer on the loan system, no answer after 60 s.

The specs found that a holder that wakes and reads its own name in the row may not resume at once: a newer holder may have started while the platform was away. It now has to wait SUPERSEDE_S besides. They also show two assumptions to be needed: a replaced host doesn't go back to an older version, and the last holder of a seat had claimed its row.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 BIN := $(VENV)/bin
 HOUSE ?= vallejo
 PACKAGES := core entry cli testing
+SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo clean
+.PHONY: setup test lint format demo model clean
 
 setup: $(VENV)/.installed
 
@@ -26,5 +27,8 @@
 test: setup lint
 	$(BIN)/python -m pytest
 
+model: setup
+	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
+
 clean:
 	rm -rf $(VENV)
--- a/packages/core/sardinewheel_core/allowance.py
+++ b/packages/core/sardinewheel_core/allowance.py
@@ -17,6 +17,8 @@
 LONGEST_REQUEST_S = 10.0
 QUARANTINE_S = LOAN_S + LONGEST_REQUEST_S + CLOCK_MARGIN_S
 FLOOR_SHARE = 0.5
+PAUSE_S = 1.0
+SUPERSEDE_S = 3.0
 
 
 def share_of(intent: Intent, seat: str) -> int:
