--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := core entry cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo model clean
+.PHONY: setup test lint format demo model clean slopes
 
 setup: $(VENV)/.installed
 
@@ -32,3 +32,6 @@
 
 clean:
 	rm -rf $(VENV)
+
+slopes: setup
+	$(BIN)/python -m sardinewheel_testing.slopes
--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -2,14 +2,32 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import dispatching, rollout, stopping
+from sardinewheel_core import (
+    claims,
+    dispatching,
+    handover,
+    proposals,
+    rollout,
+    stopping,
+)
 from sardinewheel_core.effects import (
     HostListRead,
     LoadRead,
     MessageArrived,
+    ObjectRead,
+    RowsRead,
     Send,
+    TransactionEnded,
+)
+from sardinewheel_core.filters.admission import room_for
+from sardinewheel_core.messages import (
+    ChangesSent,
+    ChangesWanted,
+    Heartbeat,
+    OutcomesHandedOn,
+    OutcomesTaken,
+    SnapshotPart,
 )
-from sardinewheel_core.messages import ChangesSent, ChangesWanted, Heartbeat
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -18,10 +36,13 @@
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
+    host.delegations.advance(now)
+    handover.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
     rollout.poll(host, now)
+    proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
     stopping.on_tick(host, now)
 
@@ -31,11 +52,36 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
-            rollout.ask_for_changes(host, states)
+            host.is_superseded |= host.membership.is_superseded(states)
+            handover.learn_successors(host, states)
+            rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
-            rollout.take_changes(host, now, changes, "peer")
+            rollout.on_changes(host, now, event.sender, changes)
+        case SnapshotPart():
+            rollout.on_snapshot_part(host, now, event.sender, event.message)
+        case OutcomesHandedOn() as message:
+            handover.on_handed_on(host, now, event.sender, message)
+        case OutcomesTaken() as message:
+            handover.on_taken(host, now, message)
+
+
+def on_platform(
+    host: "EntryHost",
+    now: float,
+    event: RowsRead | TransactionEnded | ObjectRead,
+) -> None:
+    """Takes in an answer of the platform; each part knows its own calls."""
+    match event:
+        case RowsRead():
+            rollout.on_rows(host, now, event)
+            proposals.on_rows(host, now, event)
+        case TransactionEnded():
+            proposals.on_transaction(host, now, event)
+            claims.on_transaction(host, now, event)
+        case ObjectRead():
+            rollout.on_object(host, now, event)
 
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
@@ -45,13 +91,16 @@
 def on_load(host: "EntryHost", now: float, event: LoadRead) -> None:
     """Takes in a target's answer to a probe."""
     state = host.targets.states.get(event.target)
-    if state is not None and event.draining:
+    if state is None:
+        return
+    state.report(now, healthy=event.healthy, in_flight=event.in_flight)
+    if event.draining:
         state.leaving = True
 
 
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
-    rooms = tuple((name, host.targets.free(name, now)) for name in services)
+    rooms = tuple((name, room_for(host, now, name)) for name in services)
     host.membership.own = host.membership.own._replace(
         version=host.configuration.version,
         epoch=host.book.epoch,
--- a/packages/core/sardinewheel_core/filters/verdict.py
+++ b/packages/core/sardinewheel_core/filters/verdict.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinewheel_core.exchange import Exchange
 from sardinewheel_core.messages import HostState
 from sardinewheel_core.request import Answer, Reason
 
@@ -11,7 +12,27 @@
 
 
 class Wait(NamedTuple):
-    """The exchange waits for room."""
+    """The exchange waits for room.
+
+    Attributes:
+        instead_of: Less urgent exchange that gives up its place, if any.
+    """
+
+    instead_of: Exchange | None = None
+
+
+class Claim(NamedTuple):
+    """The exchange waits until its id is claimed in the platform's table."""
+
+
+class Park(NamedTuple):
+    """The exchange waits until a successor has taken this host's records."""
+
+
+class Join(NamedTuple):
+    """The exchange gets the answer of another one of the same id."""
+
+    exchange: Exchange
 
 
 class Finish(NamedTuple):
@@ -27,4 +48,4 @@
     reason: Reason
 
 
-Verdict = Continue | Wait | Finish | Delegate
+Verdict = Continue | Wait | Claim | Park | Join | Finish | Delegate
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -6,22 +6,32 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from sardinewheel_core import control, pipeline, rollout, stopping
+from sardinewheel_core import (
+    control,
+    pipeline,
+    proposals,
+    rollout,
+    stopping,
+)
 from sardinewheel_core.allowance import Allowance
+from sardinewheel_core.blocks import BlockTable
+from sardinewheel_core.claims import ClaimQueue
 from sardinewheel_core.configuration import Configuration
 from sardinewheel_core.decisions import Decision, DecisionLog
 from sardinewheel_core.effects import (
     AttemptEnded,
     CancelArrived,
+    ChangeAsked,
     ChangeProposed,
     Effect,
     Event,
     HostListRead,
     LoadRead,
     MessageArrived,
+    ObjectRead,
     Report,
     RequestArrived,
     RowsRead,
@@ -29,13 +39,19 @@
     Ticked,
     TransactionEnded,
 )
-from sardinewheel_core.exchange import Exchange
-from sardinewheel_core.lookup import LookupAnswer, look_up
+from sardinewheel_core.exchange import Exchange, HeldRoom
+from sardinewheel_core.filters import at_most_once
+from sardinewheel_core.handover import HandoverState
+from sardinewheel_core.intent import Block, Intent
+from sardinewheel_core.lookup import LookupAnswer, LookupIndex
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
-from sardinewheel_core.outcomes import OutcomeBook
+from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
 from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.request import Answer
+from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
+from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
 
 
 class Identity(NamedTuple):
@@ -70,6 +86,11 @@
         targets: Targets that it dispatches to.
         lines: Waiting requests, by service.
         exchanges: Requests under way, by attempt id.
+        owned: Owned requests in progress, by request id.
+        held: Room of lost attempts.
+        claims: Ids without a ticket, on their way to the platform's table.
+        handover: Records taken from hosts that left, and given when leaving.
+        is_superseded: Whether a newer incarnation occupies this seat.
         decisions: Latest decisions, to explain them.
         effects: Effects of the event being handled.
     """
@@ -87,10 +108,21 @@
         self.lines: dict[str, WaitingLine] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.in_progress: dict[str, Exchange] = {}
+        self.owned: dict[str, Exchange] = {}
+        self.held: list[HeldRoom] = []
+        self.delegations = AttemptLog()
+        self.claims = ClaimQueue()
+        self.handover = HandoverState()
+        self.is_superseded = False
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
         self.rollout = rollout.RolloutState(now=now)
+        self.snapshots = SnapshotState()
+        self.proposals: dict[int, proposals.Proposal] = {}
         self.last_id = 0
+        self._blocks_indexed: Mapping[str, Block] = {}
+        self._block_table = BlockTable()
+        self._lookup_index = LookupIndex(Intent.empty(), [], now=now)
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         """Takes in an event and returns what the driver is to do.
@@ -112,12 +144,10 @@
                 pipeline.on_tick(self, now)
             case MessageArrived():
                 control.on_message(self, now, event)
-            case RowsRead():
-                rollout.on_rows(self, now, event)
-            case TransactionEnded():
-                rollout.on_transaction(self, now, event)
-            case ChangeProposed():
-                rollout.on_proposal(self, now, event)
+            case RowsRead() | TransactionEnded() | ObjectRead():
+                control.on_platform(self, now, event)
+            case ChangeProposed() | ChangeAsked():
+                proposals.on_operator(self, now, event)
             case HostListRead():
                 control.on_host_list(self, now, event)
             case LoadRead():
@@ -135,21 +165,55 @@
             block: Caller block.
         """
         intent = self.configuration.intent
-        known = intent.blocks.get(block)
-        region = known.region if known else self.region
-        return look_up(
-            intent,
-            self.membership.ready(now),
+        if not self._lookup_index.is_valid(intent, now):
+            ready = self.membership.ready(now)
+            self._lookup_index = LookupIndex(intent, ready, now=now)
+        return self._lookup_index.look_up(
             service=service,
-            region=region,
+            region=self.region_of_block(block),
             rng=self.rng,
         )
 
+    def confirm(self, now: float, attempt_id: int) -> bool:
+        """Says whether an attempt may still leave; asked right before it does.
+
+        Args:
+            now: Time on the monotonic clock, in seconds.
+            attempt_id: Attempt whose first byte is about to leave.
+        """
+        return pipeline.may_leave(self, now, attempt_id)
+
+    def find_outcome(self, now: float, request_id: str) -> Answer | HostState:
+        """Returns what became of an id, or the host to ask."""
+        return at_most_once.find_outcome(self, now, request_id)
+
+    def live_owner(self, now: float, owner: Owner) -> HostState | None:
+        """Returns the live host that decides about an owner's ids."""
+        return at_most_once.live_owner(self, now, owner)
+
+    def new_request_id(self, suffix: str) -> str:
+        """Returns an id that this host owns, with a unique suffix."""
+        ticket = Ticket(*self.owner, self.book.epoch)
+        return f"{ticket}{SEPARATOR}{suffix}"
+
+    @property
+    def owner(self) -> Owner:
+        """This incarnation, as the owner of ids."""
+        return Owner(self.identity.name, self.identity.incarnation)
+
     @property
     def region(self) -> str | None:
         """Region in which this host stands, as far as it is configured."""
         return self.configuration.intent.region_of(self.identity.domain)
 
+    def region_of_block(self, block: str) -> str | None:
+        """Returns the region of a caller block; this host's if unknown."""
+        blocks = self.configuration.intent.blocks
+        if self._blocks_indexed is not blocks:
+            self._blocks_indexed = blocks
+            self._block_table = BlockTable.from_blocks(blocks.values())
+        return self._block_table.region_of(block) or self.region
+
     @property
     def phase(self) -> Phase:
         """Phase of this host."""
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -37,6 +37,8 @@
         epoch: Ticket epoch of the host.
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
+        answers_for: Pairs of seat name and incarnation of the stopped hosts
+            for whose request ids this host answers.
     """
 
     name: str
@@ -50,6 +52,7 @@
     epoch: int
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
+    answers_for: tuple[tuple[str, int], ...] = ()
 
 
 class Heartbeat(NamedTuple):
@@ -70,6 +73,22 @@
     changes: tuple[Change, ...]
 
 
+class SnapshotPart(NamedTuple):
+    """Part of a whole intent, for a host that is far behind.
+
+    Attributes:
+        version: Version of the intent.
+        part: Index of this part, from 0.
+        parts: Number of parts.
+        text: Piece of the intent's JSON text.
+    """
+
+    version: int
+    part: int
+    parts: int
+    text: str
+
+
 class LoanWanted(NamedTuple):
     """Asks a host of the same region to lend units of the region's cap."""
 
@@ -120,6 +139,9 @@
         part: Index of this part, from 0.
         parts: Number of parts; the receiver takes over with the last one.
         records: Outcomes in this part.
+        receiver: Incarnation that is to take them; any other one ignores them.
+        is_final: Whether they are the ends of ids that were in progress when
+            the receiver took over.
     """
 
     name: str
@@ -128,6 +150,8 @@
     part: int
     parts: int
     records: tuple[OutcomeRecord, ...]
+    receiver: int = 0
+    is_final: bool = False
 
 
 class OutcomesTaken(NamedTuple):
@@ -136,12 +160,14 @@
     name: str
     incarnation: int
     part: int
+    is_final: bool = False
 
 
 Message = (
     Heartbeat
     | ChangesWanted
     | ChangesSent
+    | SnapshotPart
     | LoanWanted
     | LoanGranted
     | LoanReturned
@@ -153,6 +179,7 @@
     Heartbeat,
     ChangesWanted,
     ChangesSent,
+    SnapshotPart,
     LoanWanted,
     LoanGranted,
     LoanReturned,
