--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 HOUSE ?= vallejo
+HOUSES ?= vallejo patelvara
+EXPERIMENTS ?=
+SEED ?= 7
+SCALE ?= 0.15
 PACKAGES := core entry cli testing
 
-.PHONY: setup test lint format demo clean slopes
+.PHONY: setup test lint format demo bench clean slopes
 
 setup: $(VENV)/.installed
 
@@ -18,6 +22,9 @@
 demo: setup
 	$(BIN)/python -m sardinewheel_testing.demo settings/$(HOUSE)
 
+bench: setup
+	$(BIN)/python -m sardinewheel_testing.bench --experiments "$(EXPERIMENTS)" --houses "$(HOUSES)" --seed $(SEED) --scale $(SCALE)
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/packages/testing/sardinewheel_testing/bench_report.py
@@ -0,0 +1,220 @@
+"""Figures of the runs of one experiment, side by side."""
+
+import math
+from collections import Counter
+from typing import NamedTuple
+
+from sardinewheel_testing.calls import CallOutcome, CallResult
+from sardinewheel_testing.figures import (
+    KindFigures,
+    Percentiles,
+    Verdict,
+    by_kind,
+    judge,
+    latency_of_done,
+    refusals_by_reason,
+    unknowns_by_reason,
+    weighty,
+)
+from sardinewheel_testing.report import counts_line, table, verdict_lines
+from sardinewheel_testing.running import Counted, LoadPlan
+from sardinewheel_testing.scene import Noted, Scene
+from sardinewheel_testing.steering import CLIENT_DELAY_S
+
+
+class Series(NamedTuple):
+    """A figure over time: pairs of seconds of load and value."""
+
+    name: str
+    points: list[tuple[float, float]]
+
+
+class RunFigures(NamedTuple):
+    """Figures of one run.
+
+    Attributes:
+        steering: How callers got their work done.
+        kinds: Figures by service and kind.
+        weighty: Latency of weighty kinds.
+        goodput: Weight units of calls done, per second of load.
+        headroom: Least headroom by region, in weight units.
+        verdict: Promises that did not hold.
+        refusals: Refused attempts by reason.
+        unknowns: Unknown calls by reason.
+        floor_ms: Least possible median latency by kind.
+        noted: Figures of the experiment's events.
+        failures: Expectations of the events that were not met.
+        headroom_over_time: Least headroom by time, for each region.
+        latency_over_time: p99 by second of load, in milliseconds.
+    """
+
+    steering: str
+    kinds: list[KindFigures]
+    weighty: Percentiles
+    goodput: float
+    headroom: dict[str, int]
+    verdict: Verdict
+    refusals: Counter[str]
+    unknowns: Counter[str]
+    floor_ms: dict[str, float]
+    noted: list[Noted]
+    failures: list[str]
+    headroom_over_time: list[Series]
+    latency_over_time: Series
+
+    def to_plain(self) -> dict:
+        """Returns plain values, to be written as JSON."""
+        plain = self._asdict()
+        plain["kinds"] = [
+            {**kind._asdict(), "latency": kind.latency._asdict()}
+            for kind in self.kinds
+        ]
+        plain["weighty"] = self.weighty._asdict()
+        plain["verdict"] = self.verdict._asdict()
+        return plain
+
+    def outcomes(self, outcome: CallOutcome) -> int:
+        """Returns how many calls ended so."""
+        return sum(kind.outcomes[outcome] for kind in self.kinds)
+
+
+def figures_of(
+    scene: Scene,
+    plan: LoadPlan,
+    results: list[CallResult],
+    counted: Counted,
+    stops: dict[str, int],
+) -> RunFigures:
+    """Returns the figures of a run."""
+    caps = {r.name: r.cap for r in scene.house.intent.regions.values()}
+    done = [r for r in results if r.outcome is CallOutcome.DONE]
+    return RunFigures(
+        steering=scene.steering,
+        kinds=by_kind(results),
+        weighty=latency_of_done(weighty(results)),
+        goodput=sum(r.call.rate.weight for r in done) / plan.seconds,
+        headroom={r: cap - counted.most[r] for r, cap in caps.items()},
+        verdict=judge(
+            results,
+            counted.executions,
+            caps=caps,
+            most=counted.most,
+            stops=stops,
+        ),
+        refusals=refusals_by_reason(results),
+        unknowns=unknowns_by_reason(results),
+        floor_ms={
+            kind: (seconds + 2 * CLIENT_DELAY_S) * 1000
+            for kinds in scene.house.stand_ins["service_time_s"].values()
+            for kind, seconds in kinds.items()
+        },
+        noted=scene.noted,
+        failures=scene.failures,
+        headroom_over_time=_headroom_series(scene, caps, counted),
+        latency_over_time=_latency_series(done),
+    )
+
+
+def _headroom_series(
+    scene: Scene, caps: dict[str, int], counted: Counted
+) -> list[Series]:
+    series = []
+    for region, cap in caps.items():
+        points = [
+            (step * counted.step_s - scene.load_at, float(cap - weight))
+            for step, weight in sorted(counted.steps[region].items())
+        ]
+        series.append(Series(region, points))
+    return series
+
+
+def _latency_series(done: list[CallResult]) -> Series:
+    by_second: dict[int, list[CallResult]] = {}
+    for result in done:
+        by_second.setdefault(int(result.call.at_s), []).append(result)
+    points = [
+        (float(second), latency_of_done(group).p99)
+        for second, group in sorted(by_second.items())
+    ]
+    return Series("p99 ms", points)
+
+
+def text(runs: list[RunFigures]) -> str:
+    """Returns the tables and the ratios to the best baseline."""
+    product, *baselines = runs
+    parts = [_summary(runs), _kinds(runs), _ratios(product, baselines)]
+    for run in runs:
+        refused, unknown = counts_line(run.refusals), counts_line(run.unknowns)
+        parts.append(f"{run.steering}: refused {refused}; unknown {unknown}")
+    parts += [f"{n.name} {n.value}" for n in product.noted]
+    parts += [f"NOT MET: {failure}" for failure in product.failures]
+    parts.append(verdict_lines(product.verdict))
+    return "\n".join(parts)
+
+
+def _summary(runs: list[RunFigures]) -> str:
+    rows: list[tuple] = [
+        (
+            "steering",
+            "p50",
+            "p99",
+            "p99.9 weighty ms",
+            "goodput/s",
+            "refused",
+            "unknown",
+            "least headroom",
+            "over cap",
+            "doubled",
+            "lost",
+            "false not run",
+        )
+    ]
+    for run in runs:
+        rows.append(
+            (
+                run.steering,
+                *(f"{value:.0f}" for value in run.weighty),
+                f"{run.goodput:.0f}",
+                run.outcomes(CallOutcome.REFUSED),
+                run.outcomes(CallOutcome.UNKNOWN),
+                "/".join(str(h) for h in run.headroom.values()),
+                len(run.verdict.over_cap),
+                len(run.verdict.doubled),
+                len(run.verdict.lost),
+                len(run.verdict.false_not_run),
+            )
+        )
+    return table(rows)
+
+
+def _kinds(runs: list[RunFigures]) -> str:
+    heading = ["kind (weight): done of calls, p50/p99/p99.9 ms"]
+    rows: list[tuple] = [(*heading, *(run.steering for run in runs), "floor")]
+    for position, kind in enumerate(runs[0].kinds):
+        cells = [_kind_cell(run.kinds[position]) for run in runs]
+        name = f"{kind.service}/{kind.kind} ({kind.weight})"
+        floor = f"{runs[0].floor_ms[kind.kind]:.0f}"
+        rows.append((name, *cells, floor))
+    return table(rows)
+
+
+def _kind_cell(kind: KindFigures) -> str:
+    latency = "/".join(f"{value:.0f}" for value in kind.latency)
+    return f"{kind.outcomes[CallOutcome.DONE]} of {kind.calls}, {latency}"
+
+
+def _ratios(product: RunFigures, baselines: list[RunFigures]) -> str:
+    p99 = _best(min, [b.weighty.p99 for b in baselines])
+    goodput = _best(max, [b.goodput for b in baselines])
+    headroom = _best(max, [min(b.headroom.values()) for b in baselines])
+    return (
+        "to the best baseline: "
+        f"weighty p99 x {product.weighty.p99 / p99:.2f}, "
+        f"goodput x {product.goodput / goodput:.2f}, "
+        f"least headroom {min(product.headroom.values())} against {headroom}"
+    )
+
+
+def _best(choose, values: list[float]) -> float:
+    numbers = [value for value in values if not math.isnan(value)]
+    return choose(numbers) if numbers else math.nan
--- a/packages/testing/sardinewheel_testing/running.py
+++ b/packages/testing/sardinewheel_testing/running.py
@@ -218,6 +218,8 @@
         Returns:
             When the load starts, monotonic seconds.
         """
+        for path in self.folder.glob("results-*"):
+            path.unlink()
         start_at = time.monotonic() + START_DELAY_S
         for callers in self.house.stand_ins["callers"]:
             region = callers["region"]
