--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 SEED ?= 7
 SCALE ?= 0.15
 PACKAGES := core entry cli testing
+SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo bench clean slopes
+.PHONY: setup test lint format demo bench model clean slopes
 
 setup: $(VENV)/.installed
 
@@ -36,6 +37,9 @@
 test: setup lint
 	$(BIN)/python -m pytest
 
+model: setup
+	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
+
 clean:
 	rm -rf $(VENV)
 
--- a/packages/testing/sardinewheel_testing/baselines.py
+++ b/packages/testing/sardinewheel_testing/baselines.py
@@ -166,7 +166,7 @@
                 "POST",
                 target.address,
                 "/",
-                fields=trail.fields(request_id),
+                fields=trail.fields(request_id, trail.left_s),
                 body=trail.body,
                 timeout_s=trail.left_s,
                 fresh=not trail.call.rate.repeatable,
--- a/packages/testing/sardinewheel_testing/demo.py
+++ b/packages/testing/sardinewheel_testing/demo.py
@@ -6,9 +6,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from sardinewheel_core.change import StartDrain, StartShift
-from sardinewheel_core.intent import Drain, Shift, Subject
-
 from sardinewheel_testing import report
 from sardinewheel_testing.calls import Surge
 from sardinewheel_testing.figures import judge
@@ -24,16 +21,7 @@
 DRAIN_HOST_AT_S = 8.0
 KILL_AT_S = 12.0
 PROGRESS_S = 1.0
-SHIFT = Shift(
-    name="demo",
-    service="",
-    source="",
-    destination="",
-    share=0.3,
-    cap=60,
-    interval_s=2.0,
-    pace_s=5.0,
-)
+SHIFT = "share 20% cap 60 per 2s over 5s as demo --force region-cap"
 
 
 class DrainTime(NamedTuple):
@@ -120,24 +108,15 @@
         self.wait_until(SHIFT_AT_S)
         source, destination = self.running.house.regions[:2]
         service = next(iter(self.running.house.intent.services))
-        shift = SHIFT._replace(
-            service=service, source=source, destination=destination
-        )
-        version = self.running.change((StartShift(shift),))
-        seconds = self.running.seconds_until_in_force(version)
-        self.say(
-            f"shift of {service}: {shift.share:.0%} from {source} to "
-            f"{destination}; in force everywhere after {seconds:.1f} s"
-        )
+        route = ("from", source, "to", destination)
+        self.operate("shift", service, *route, *SHIFT.split())
 
     def drain_target(self) -> None:
         """Empties a target by an operator's order."""
         self.wait_until(DRAIN_TARGET_AT_S)
         target = self.running.house.targets()[0]
         ordered_at = time.monotonic()
-        drain = Drain(Subject.TARGET, target.name)
-        self.running.change((StartDrain(drain),))
-        self.say(f"draining target {target.name}")
+        self.operate("drain", "target", target.name)
         self.drains.append(self.watch_target(target, ordered_at))
         self.say(f"target {target.name} is empty")
 
@@ -146,11 +125,9 @@
         self.wait_until(DRAIN_HOST_AT_S)
         name = sorted(self.running.hosts)[0]
         ordered_at = time.monotonic()
-        drain = Drain(Subject.ENTRY_HOST, name)
-        self.running.change((StartDrain(drain),))
+        self.operate("drain", "host", name)
         process = self.running.hosts.pop(name)
         process.signal(signal.SIGTERM)
-        self.say(f"draining entry host {name}")
         self.stops[name] = process.stop()
         seconds = time.monotonic() - ordered_at
         self.drains.append(DrainTime(name, 0.0, seconds))
@@ -194,6 +171,15 @@
             if counts and left_s > PROGRESS_S:
                 self.say(report.counts_line(+counts))
 
+    def operate(self, *words: str) -> None:
+        """Runs an operator's command and waits until it is in force."""
+        self.say("sardinewheel " + " ".join(words))
+        started_at = time.monotonic()
+        version = self.running.operate(*words)
+        self.running.seconds_until_in_force(version)
+        seconds = time.monotonic() - started_at
+        self.say(f"version {version} in force everywhere after {seconds:.1f} s")
+
     def say(self, text: str) -> None:
         """Prints one line of progress."""
         say(self.started_at, text)
--- a/packages/testing/sardinewheel_testing/experiments.py
+++ b/packages/testing/sardinewheel_testing/experiments.py
@@ -6,9 +6,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from sardinewheel_core.change import SetCap, StartDrain, StartShift
-from sardinewheel_core.intent import Drain, Shift, Subject
-
 from sardinewheel_testing.calls import Surge
 from sardinewheel_testing.running import send_json
 from sardinewheel_testing.scene import Scene
@@ -61,8 +58,8 @@
     drained = [scene.targets_of(region=r)[0] for r in scene.house.regions]
     ordered_at = time.monotonic()
     if scene.is_product:
-        drains = [Drain(Subject.TARGET, target.name) for target in drained]
-        scene.running.change(tuple(StartDrain(drain) for drain in drains))
+        for target in drained:
+            scene.running.operate("drain", "target", target.name)
     scene.running.set_targets(drained, draining=True)
     for target in drained:
         scene.watch_drain(target, ordered_at)
@@ -111,7 +108,7 @@
     if not scene.is_product:
         return
     scene.wait_until(1.0)
-    _start_shift(scene, share=0.3)
+    _start_shift(scene, share="30%")
     scene.wait_until(2.0)
     scene.running.set_platform(mode="down")
     region = scene.house.regions[2]
@@ -121,7 +118,7 @@
     scene.expect(state != "accepted", "a change was accepted without platform")
     scene.wait_until(9.0)
     scene.running.set_platform(mode="up")
-    version = scene.running.change((SetCap(region, cap),))
+    version = scene.running.operate("set", "cap", region, str(cap))
     seconds = scene.running.seconds_until_in_force(version)
     scene.note("in_force_everywhere_s", seconds)
     scene.expect(seconds <= IN_FORCE_GOAL_S, f"in force after {seconds:.1f} s")
@@ -186,23 +183,15 @@
     )
     if scene.is_product:
         scene.wait_until(1.0)
-        _start_shift(scene, share=0.5)
+        _start_shift(scene, share="50%")
 
 
-def _start_shift(scene: Scene, *, share: float) -> None:
+def _start_shift(scene: Scene, *, share: str) -> None:
     service = next(iter(scene.house.intent.services))
     source, destination = scene.house.regions[:2]
-    shift = Shift(
-        name="bench",
-        service=service,
-        source=source,
-        destination=destination,
-        share=share,
-        cap=80,
-        interval_s=2.0,
-        pace_s=4.0,
-    )
-    scene.running.change((StartShift(shift),))
+    bounds = f"share {share} cap 80 per 2s over 4s --force region-cap"
+    route = ("from", source, "to", destination)
+    scene.running.operate("shift", service, *route, *bounds.split())
 
 
 def _offer_cap(
