--- a/packages/testing/sardinewheel_testing/sardinewheel_steering.py
+++ b/packages/testing/sardinewheel_testing/sardinewheel_steering.py
@@ -21,7 +21,10 @@
 LOOKUP_TIMEOUT_S = 1.0
 LOOKUP_RETRY_S = 0.2
 MIN_RETRY_S = 0.05
-LONGEST_TRY_SHARE = 0.5
+LONGEST_TRY_SHARE = 0.7
+SUSPECT_S = 3.0
+PENDING = "pending"
+PENDING_RETRY_S = 0.2
 SETTLE_TRIES = 4
 SETTLE_TIMEOUT_S = 1.5
 
@@ -42,6 +45,7 @@
         block: Address of the callers.
         clients: Number of callers that cache look-ups on their own.
         entries: Latest entry seen of each host, by name.
+        suspects: Hosts that did not answer, and until when others go first.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         self.rng = rng
         self.cache: dict[tuple[int, str], CachedLookup] = {}
         self.entries: dict[str, LookupEntry] = {}
+        self.suspects: dict[str, float] = {}
 
     def steer(self, trail: Trail) -> CallResult:
         """Makes a call and returns what became of it."""
@@ -86,10 +91,9 @@
         request_id = trail.next_id("" if repeatable else entry.ticket)
         timeout_s = trail.left_s
         if repeatable:
-            timeout_s = max(1.0, timeout_s * LONGEST_TRY_SHARE)
+            timeout_s *= LONGEST_TRY_SHARE
         told = self._ask(trail, entry, request_id, timeout_s)
-        if told.outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_SENT):
-            trail.avoided.add(entry.host)
+        self._avoid_if_silent(trail, entry, told)
         tries = 0 if repeatable else SETTLE_TRIES
         while told.outcome is AttemptOutcome.LOST and tries:
             tries -= 1
@@ -99,12 +103,23 @@
                 gevent.sleep(LOOKUP_RETRY_S)
                 continue
             told = self._ask(trail, other, request_id, SETTLE_TIMEOUT_S)
+            self._avoid_if_silent(trail, other, told)
             if told.outcome is AttemptOutcome.NOT_SENT:
                 told = Told(AttemptOutcome.LOST)
-                trail.avoided.add(other.host)
+            elif told.reason == PENDING:
+                gevent.sleep(PENDING_RETRY_S)
         trail.add(request_id, told)
         return told
 
+    def _avoid_if_silent(
+        self, trail: Trail, entry: LookupEntry, told: Told
+    ) -> None:
+        if told.reason == PENDING:
+            return
+        if told.outcome in (AttemptOutcome.LOST, AttemptOutcome.NOT_SENT):
+            trail.avoided.add(entry.host)
+            self.suspects[entry.host] = time.monotonic() + SUSPECT_S
+
     def _may_ask_again(self, trail: Trail, told: Told) -> bool:
         if told.outcome in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT):
             return True
@@ -117,7 +132,7 @@
         request_id: str,
         timeout_s: float,
     ) -> Told:
-        fields = trail.fields(request_id)
+        fields = trail.fields(request_id, timeout_s)
         fields[headers.BLOCK] = self.block
         try:
             response = self.network.send(
@@ -143,7 +158,10 @@
             if name in self.entries and name not in trail.avoided:
                 return self.entries[name]
         entries = self._look_up(trail)
-        return next((e for e in entries if e.host not in trail.avoided), None)
+        usable = [e for e in entries if e.host not in trail.avoided]
+        now = time.monotonic()
+        sound = [e for e in usable if self.suspects.get(e.host, 0.0) < now]
+        return next(iter(sound or usable), None)
 
     def _look_up(self, trail: Trail) -> tuple[LookupEntry, ...]:
         service = trail.call.rate.service
@@ -187,6 +205,8 @@
     """Returns what an entry host's response says of a request id."""
     fields = response.headers
     text = fields.get(headers.OUTCOME.lower(), "")
+    if text == PENDING:
+        return Told(AttemptOutcome.LOST, PENDING)
     if text not in list(AttemptOutcome):
         return Told(AttemptOutcome.UNKNOWN, f"status-{response.status}")
     if text == AttemptOutcome.DONE and response.status != OK:
