--- a/packages/core/sardinewheel_core/proposals.py
+++ b/packages/core/sardinewheel_core/proposals.py
@@ -66,6 +66,8 @@
         question: Whether only the outcome of the change id is asked for.
         stage: What it waits for.
         change: Change last offered to the table.
+        has_read: Whether the table was read for it, so that a finding is
+            not due to this host being behind.
         lost: Whether a transaction may have taken effect unnoticed.
         winner: Change that took the version that was offered last.
         retry_at: When a call that failed is repeated.
@@ -80,6 +82,7 @@
         self.question = question
         self.stage = Stage.READ
         self.change: Change | None = None
+        self.has_read = False
         self.lost = False
         self.winner: Change | None = None
         self.retry_at = 0.0
@@ -149,6 +152,7 @@
     if event.failed:
         _retry_later(host, now, proposal)
         return
+    proposal.has_read = True
     rollout.take_rows(host, now, event.rows)
     if _settled_by(host, now, proposal, event.rows):
         return
@@ -187,7 +191,10 @@
         try:
             apply_change(intent, change)
         except ChangeRejectedError as error:
-            _end_unappliable(host, proposal, error)
+            if proposal.has_read:
+                _end_unappliable(host, proposal, error)
+            else:
+                _read(host, proposal)
             return
     proposal.change = change
     proposal.stage = Stage.COMMIT
