--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -9,6 +9,7 @@
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
+    CancelArrived,
     CancelAttempt,
     ChangeAsked,
     ChangeProposed,
@@ -31,15 +32,18 @@
 )
 from sardinewheel_core.host import EntryHost, Identity
 from sardinewheel_core.messages import Message
-from sardinewheel_core.request import Answer, Request
+from sardinewheel_core.request import Answer, Outcome, Request
+from sardinewheel_core.traffic import TrafficCounter
 
-from sardinewheel_entry.attempts import AttemptRunner, Payload
+from sardinewheel_entry.attempts import AttemptRunner
 from sardinewheel_entry.http_exchange import HttpResponse
+from sardinewheel_entry.kept_responses import KeptResponses
+from sardinewheel_entry.metrics import Metrics
+from sardinewheel_entry.payloads import Payload
 from sardinewheel_entry.peers import PeerLinks
 from sardinewheel_entry.platform_client import PlatformClient, PlatformEffect
 
 TICK_S = 0.1
-RESPONSES_KEPT = 512
 
 log = structlog.get_logger()
 
@@ -53,6 +57,7 @@
         links: Connections to other entry hosts.
         platform: Client of the platform's services.
         stopped: Set when the host has finished leaving.
+        traffic: Counts where traffic flows.
     """
 
     def __init__(self, *, identity: Identity, platform: PlatformClient):
@@ -60,15 +65,19 @@
         self.host = EntryHost(
             identity=identity, rng=self.rng, now=time.monotonic()
         )
-        self.attempts = AttemptRunner()
+        self.attempts = AttemptRunner(
+            confirm=self._confirm, on_stream=self._answer_early
+        )
         self.links = PeerLinks(identity.name, self.on_message)
         self.platform = platform
         self.stopped = AsyncResult()
         self.waiting: dict[int, AsyncResult] = {}
         self.proposals: dict[int, AsyncResult] = {}
-        self.payloads: dict[str, Payload] = {}
-        self.responses: dict[int, HttpResponse] = {}
+        self.payloads: dict[int, Payload] = {}
+        self.responses = KeptResponses()
+        self.metrics = Metrics()
         self.last_id = 0
+        self.traffic = TrafficCounter(started_at=time.monotonic())
 
     def run(self) -> None:
         """Ticks until the host has finished leaving."""
@@ -91,13 +100,17 @@
         """Has a request executed and returns its final answer."""
         self.last_id += 1
         result = self.waiting[self.last_id] = AsyncResult()
-        self.payloads.setdefault(request.id, payload)
+        arrival_id = self.last_id
+        self.payloads[arrival_id] = payload
         try:
-            self.feed(RequestArrived(self.last_id, request))
-            answer: Answer = result.get()
+            self.feed(RequestArrived(arrival_id, request))
+            return result.get()
         finally:
-            self.payloads.pop(request.id, None)
-        return answer, self.responses.get(answer.attempt_id)
+            self.payloads.pop(arrival_id, None)
+
+    def cancel(self, request_id: str) -> None:
+        """Passes on that a caller no longer wants an answer."""
+        self.feed(CancelArrived(request_id))
 
     def propose(self, event: ChangeProposed | ChangeAsked) -> ProposalEnded:
         """Proposes a change, or asks about one; returns how that ended."""
@@ -108,17 +121,18 @@
 
     def carry_out(self, effect: Effect) -> None:
         """Carries out one effect; nothing here waits."""
+        self.traffic.observe(time.monotonic(), self.host, effect)
         match effect:
             case Dispatch():
-                payload = self.payloads[effect.request.id]
+                payload = self.payloads[effect.arrival_id]
                 gevent.spawn(self._run_attempt, effect, payload)
             case Forward():
-                payload = self.payloads[effect.request.id]
+                payload = self.payloads[effect.arrival_id]
                 gevent.spawn(self._run_attempt, effect, payload)
             case CancelAttempt(attempt_id):
                 self.attempts.cancel(attempt_id)
             case Reply(arrival_id, answer):
-                self.waiting.pop(arrival_id).set(answer)
+                self._answer(arrival_id, answer)
             case Send(_, address, message):
                 self.links.send(address, message)
             case ReadRows() | ReadObject() | Transact() | PutObject():
@@ -136,14 +150,35 @@
         result, response = self.attempts.run(effect, payload)
         duration_s = time.monotonic() - started_at
         if response is not None and result.ending is Ending.ANSWERED:
-            self._keep(effect.attempt_id, response)
+            self.responses.keep(effect.attempt_id, response)
         result: AttemptResult = result._replace(duration_s=duration_s)
         self.feed(AttemptEnded(effect.attempt_id, result))
 
-    def _keep(self, attempt_id: int, response: HttpResponse) -> None:
-        self.responses[attempt_id] = response
-        while len(self.responses) > RESPONSES_KEPT:
-            self.responses.pop(next(iter(self.responses)))
+    def _confirm(self, attempt_id: int) -> bool:
+        return self.host.confirm(time.monotonic(), attempt_id)
+
+    def _answer(
+        self,
+        arrival_id: int,
+        answer: Answer,
+        response: HttpResponse | None = None,
+    ) -> None:
+        """Wakes the arrival; one with a streamed response already has it."""
+        waiting = self.waiting.pop(arrival_id, None)
+        if waiting is not None:
+            kept = response or self.responses.get(answer.attempt_id)
+            waiting.set((answer, kept))
+
+    def _answer_early(
+        self, effect: Dispatch | Forward, response: HttpResponse
+    ) -> None:
+        answer = Answer(
+            effect.request.id,
+            Outcome.DONE,
+            attempt_id=effect.attempt_id,
+            status=response.status,
+        )
+        self._answer(effect.arrival_id, answer, response)
 
     def _call_platform(self, effect: PlatformEffect) -> None:
         event = self.platform.call(effect)
