Learn that targets leave from four sources; stop without cutting; reuse peer links

Cause: the host list was ignored, a drained entry host went on taking work, a target that was once leaving never came back, and a neighbour's news did not count.

Links carry both ways, are pinged, end when idle; frames carry versions, positional fields and are counted. Malformed frames are refused with the connection; messages of a newer minor version are skipped.

--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -5,7 +5,10 @@
 from sardinewheel_core import (
     claims,
     dispatching,
+    drains,
     handover,
+    leaving,
+    probing,
     proposals,
     rollout,
     stopping,
@@ -36,6 +39,7 @@
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
+    leaving.on_tick(host, now)
     host.delegations.advance(now)
     handover.on_tick(host, now)
     _refresh_own_state(host, now)
@@ -44,6 +48,8 @@
     rollout.poll(host, now)
     proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
+    drains.on_tick(host, now)
+    probing.on_tick(host, now)
     stopping.on_tick(host, now)
 
 
@@ -52,7 +58,8 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
-            host.is_superseded |= host.membership.is_superseded(states)
+            if host.membership.is_superseded(states):
+                stopping.on_superseded(host, now)
             handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
@@ -86,23 +93,24 @@
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
     """Takes in the platform's list of hosts, as a hint about targets."""
+    leaving.on_host_list(host, now, event.hosts)
+    dispatching.refresh_targets(host, now)
 
 
 def on_load(host: "EntryHost", now: float, event: LoadRead) -> None:
     """Takes in a target's answer to a probe."""
-    state = host.targets.states.get(event.target)
-    if state is None:
-        return
-    state.report(now, healthy=event.healthy, in_flight=event.in_flight)
-    if event.draining:
-        state.leaving = True
+    probing.on_load(host, now, event)
+    dispatching.refresh_targets(host, now)
 
 
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
+    leaving_targets, drained = leaving.told_to_others(host, now)
     rooms = tuple((name, room_for(host, now, name)) for name in services)
     host.membership.own = host.membership.own._replace(
         version=host.configuration.version,
         epoch=host.book.epoch,
         rooms=rooms,
+        leaving=leaving_targets,
+        drained=drained,
     )
--- a/packages/core/sardinewheel_core/effects.py
+++ b/packages/core/sardinewheel_core/effects.py
@@ -146,13 +146,14 @@
         target: Name of the target.
         healthy: Whether it says that it is healthy.
         in_flight: Requests that it says are in flight, or -1 if unknown.
-        draining: Whether it says that it is leaving.
+        draining: Whether it says that it is leaving; nothing if it does not
+            say.
     """
 
     target: str
     healthy: bool
     in_flight: int = -1
-    draining: bool = False
+    draining: bool | None = None
 
 
 class StopOrdered(NamedTuple):
@@ -306,6 +307,16 @@
     text: str
 
 
+class ReadHostList(NamedTuple):
+    """Read the platform's list of hosts; a failure is not reported."""
+
+
+class Probe(NamedTuple):
+    """Ask a target for its health and load; ends in ``LoadRead``."""
+
+    target: Target
+
+
 class Transact(NamedTuple):
     """Write rows if others have the expected versions, in one transaction.
 
@@ -343,6 +354,8 @@
     | ReadRows
     | ReadObject
     | PutObject
+    | ReadHostList
+    | Probe
     | Transact
     | Report
     | Exit
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -11,6 +11,8 @@
 
 from sardinewheel_core import (
     control,
+    dispatching,
+    drains,
     pipeline,
     proposals,
     request_decisions,
@@ -22,6 +24,7 @@
 from sardinewheel_core.claims import ClaimQueue
 from sardinewheel_core.configuration import Configuration
 from sardinewheel_core.decisions import Decision, DecisionLog
+from sardinewheel_core.drains import DrainProgress
 from sardinewheel_core.effects import (
     AttemptEnded,
     CancelArrived,
@@ -44,10 +47,12 @@
 from sardinewheel_core.filters import at_most_once
 from sardinewheel_core.handover import HandoverState
 from sardinewheel_core.intent import Block, Intent
+from sardinewheel_core.leaving import LeavingSigns
 from sardinewheel_core.lookup import LookupAnswer, LookupIndex
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
 from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
+from sardinewheel_core.probing import ProbeSchedule
 from sardinewheel_core.queueing import WaitingLine
 from sardinewheel_core.request import Answer
 from sardinewheel_core.snapshots import SnapshotState
@@ -85,12 +90,17 @@
         allowance: Its part of its region's cap.
         book: Outcomes of requests that may not be repeated.
         targets: Targets that it dispatches to.
+        assignment: How the targets are divided among the hosts.
+        leaving: Signs that targets are leaving.
+        drains: Drains that it has a part in.
+        probes: Probes of its targets.
         lines: Waiting requests, by service.
         exchanges: Requests under way, by attempt id.
         owned: Owned requests in progress, by request id.
         held: Room of lost attempts.
         claims: Ids without a ticket, on their way to the platform's table.
         handover: Records taken from hosts that left, and given when leaving.
+        stop: How far it has come with leaving.
         is_superseded: Whether a newer incarnation occupies this seat.
         decisions: Latest decisions, to explain them.
         effects: Effects of the event being handled.
@@ -106,6 +116,10 @@
         self.allowance = Allowance()
         self.book = OutcomeBook(started_at=now)
         self.targets = TargetPool(rng=rng)
+        self.assignment = dispatching.Assignment()
+        self.leaving = LeavingSigns()
+        self.drains = drains.DrainBook()
+        self.probes = ProbeSchedule()
         self.lines: dict[str, WaitingLine] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.in_progress: dict[str, Exchange] = {}
@@ -114,6 +128,7 @@
         self.delegations = AttemptLog()
         self.claims = ClaimQueue()
         self.handover = HandoverState()
+        self.stop = stopping.StopState()
         self.is_superseded = False
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
@@ -169,7 +184,8 @@
         intent = self.configuration.intent
         if not self._lookup_index.is_valid(intent, now):
             ready = self.membership.ready(now)
-            self._lookup_index = LookupIndex(intent, ready, now=now)
+            hosts = dispatching.listed(intent, ready)
+            self._lookup_index = LookupIndex(intent, hosts, now=now)
         return self._lookup_index.look_up(
             service=service,
             region=self.region_of_block(block),
@@ -185,6 +201,10 @@
         """
         return pipeline.may_leave(self, now, attempt_id)
 
+    def drain_progress(self, now: float) -> list[DrainProgress]:
+        """Returns how far each drain has come on this host."""
+        return drains.progress(self, now)
+
     def find_outcome(self, now: float, request_id: str) -> Answer | HostState:
         """Returns what became of an id, or the host to ask."""
         return at_most_once.find_outcome(self, now, request_id)
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -11,6 +11,7 @@
 from sardinewheel_core.change import Change
 
 PROTOCOL_VERSION = 1
+PROTOCOL_MINOR = 0
 
 
 class Phase(StrEnum):
@@ -39,6 +40,8 @@
         successor: Host that answers for this incarnation once it is gone.
         answers_for: Pairs of seat name and incarnation of the stopped hosts
             for whose request ids this host answers.
+        leaving: Some targets that the host itself saw leaving.
+        drained: Some places that its version drains, as ``subject/name``.
     """
 
     name: str
@@ -53,6 +56,8 @@
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
     answers_for: tuple[tuple[str, int], ...] = ()
+    leaving: tuple[str, ...] = ()
+    drained: tuple[str, ...] = ()
 
 
 class Heartbeat(NamedTuple):
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import claims, occupancy
+from sardinewheel_core import claims, leaving, occupancy
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -300,11 +300,13 @@
         occupancy.vacate(host, exchange.occupancy)
     exchange.occupancy = None
     if result.draining:
+        leaving.on_draining_sign(host, now, state.target.name, draining=True)
         state.leaving = True
     if result.ending is Ending.ANSWERED:
         state.succeeded()
         line = host.line(exchange.request.service)
         line.observe(result.duration_s)
+        host.drains.observe(state.service, result.duration_s)
     elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
         exchange.refused_by.add(state.target.name)
--- /dev/null
+++ b/packages/core/sardinewheel_core/probing.py
@@ -0,0 +1,69 @@
+"""When this host probes the targets that it dispatches to."""
+
+from typing import TYPE_CHECKING
+
+from sardinewheel_core import leaving
+from sardinewheel_core.effects import LoadRead, Probe
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+PROBE_INTERVAL_S = 1.0
+MAX_PROBES_PER_S = 10.0
+PROBE_LIMIT_S = 5.0
+JITTER = 0.1
+
+
+class ProbeSchedule:
+    """Probes under way and to come, by target.
+
+    Attributes:
+        due_at: When each target is probed next.
+        started_at: When the probe under way began.
+        sent: Probes sent so far.
+    """
+
+    def __init__(self):
+        self.due_at: dict[str, float] = {}
+        self.started_at: dict[str, float] = {}
+        self.sent = 0
+
+    def is_due(self, now: float, target: str) -> bool:
+        """Says whether a target is to be probed now."""
+        started_at = self.started_at.get(target)
+        if started_at is not None and now - started_at < PROBE_LIMIT_S:
+            return False
+        return now >= self.due_at.get(target, now)
+
+    def keep(self, targets: set[str]) -> None:
+        """Drops targets that this host no longer dispatches to."""
+        for times in (self.due_at, self.started_at):
+            for name in [n for n in times if n not in targets]:
+                del times[name]
+
+
+def on_tick(host: "EntryHost", now: float) -> None:
+    """Probes the targets whose turn it is, within the probe budget."""
+    schedule, states = host.probes, host.targets.states
+    schedule.keep(set(states))
+    interval_s = max(PROBE_INTERVAL_S, len(states) / MAX_PROBES_PER_S)
+    for name, state in states.items():
+        if schedule.is_due(now, name):
+            jitter = host.rng.uniform(1 - JITTER, 1 + JITTER)
+            schedule.due_at[name] = now + interval_s * jitter
+            schedule.started_at[name] = now
+            schedule.sent += 1
+            host.emit(Probe(state.target))
+
+
+def on_load(host: "EntryHost", now: float, event: LoadRead) -> None:
+    """Takes in a target's answer to a probe."""
+    host.probes.started_at.pop(event.target, None)
+    state = host.targets.states.get(event.target)
+    if state is None:
+        return
+    state.report(now, healthy=event.healthy, in_flight=event.in_flight)
+    if event.draining is not None:
+        leaving.on_draining_sign(
+            host, now, event.target, draining=event.draining
+        )
--- a/packages/core/sardinewheel_core/rollout.py
+++ b/packages/core/sardinewheel_core/rollout.py
@@ -9,7 +9,13 @@
     change_key,
     decode_change,
 )
-from sardinewheel_core.effects import ObjectRead, ReadRows, RowsRead, Send
+from sardinewheel_core.effects import (
+    ObjectRead,
+    ReadHostList,
+    ReadRows,
+    RowsRead,
+    Send,
+)
 from sardinewheel_core.errors import MessageError
 from sardinewheel_core.intent import Intent
 from sardinewheel_core.messages import (
@@ -24,6 +30,7 @@
     from sardinewheel_core.host import EntryHost
 
 POLL_INTERVAL_S = 1.0
+HOST_LIST_INTERVAL_S = 1.5
 POLL_JITTER = 0.2
 LONGEST_POLL_INTERVAL_S = 4.0
 POLL_CALL_LIMIT_S = 10.0
@@ -42,6 +49,7 @@
 
     Attributes:
         next_poll_at: When the table is read next.
+        next_list_at: When the platform's list of hosts is read next.
         poll_interval_s: Interval of polls; grows while the platform is away.
         poll_call: Read under way, or 0.
         poll_started_at: When that read began.
@@ -55,6 +63,7 @@
 
     def __init__(self, *, now: float):
         self.next_poll_at = now
+        self.next_list_at = now
         self.poll_interval_s = POLL_INTERVAL_S
         self.poll_call = 0
         self.poll_started_at = now
@@ -80,6 +89,10 @@
     state.poll_started_at = now
     state.reads += 1
     host.emit(ReadRows(state.poll_call, next_keys(host)))
+    if now >= state.next_list_at:
+        state.next_list_at = now + HOST_LIST_INTERVAL_S
+        state.reads += 1
+        host.emit(ReadHostList())
 
 
 def next_keys(host: "EntryHost") -> tuple[str, ...]:
--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import structlog
@@ -18,9 +19,12 @@
     Event,
     Exit,
     Forward,
+    HostListRead,
     MessageArrived,
+    Probe,
     ProposalEnded,
     PutObject,
+    ReadHostList,
     ReadObject,
     ReadRows,
     Reply,
@@ -31,6 +35,7 @@
     Transact,
 )
 from sardinewheel_core.host import EntryHost, Identity
+from sardinewheel_core.intent import Target
 from sardinewheel_core.messages import Message
 from sardinewheel_core.request import Answer, Outcome, Request
 from sardinewheel_core.traffic import TrafficCounter
@@ -42,6 +47,7 @@
 from sardinewheel_entry.payloads import Payload
 from sardinewheel_entry.peers import PeerLinks
 from sardinewheel_entry.platform_client import PlatformClient, PlatformEffect
+from sardinewheel_entry.probes import Prober
 
 TICK_S = 0.1
 
@@ -56,6 +62,7 @@
         attempts: Sends requests to targets and peers.
         links: Connections to other entry hosts.
         platform: Client of the platform's services.
+        prober: Probes targets.
         stopped: Set when the host has finished leaving.
         traffic: Counts where traffic flows.
     """
@@ -68,8 +75,11 @@
         self.attempts = AttemptRunner(
             confirm=self._confirm, on_stream=self._answer_early
         )
-        self.links = PeerLinks(identity.name, self.on_message)
+        self.links = PeerLinks(
+            identity.name, self.on_message, address=identity.peer_address
+        )
         self.platform = platform
+        self.prober = Prober()
         self.stopped = AsyncResult()
         self.waiting: dict[int, AsyncResult] = {}
         self.proposals: dict[int, AsyncResult] = {}
@@ -79,9 +89,14 @@
         self.last_id = 0
         self.traffic = TrafficCounter(started_at=time.monotonic())
 
-    def run(self) -> None:
-        """Ticks until the host has finished leaving."""
-        while not self.stopped.ready():
+    def run(self, *, is_quiet: Callable[[], bool] = lambda: True) -> None:
+        """Ticks until the host has finished leaving.
+
+        Args:
+            is_quiet: Whether every answer was delivered; until then the host
+                goes on.
+        """
+        while not (self.stopped.ready() and is_quiet()):
             self.feed(Ticked())
             gevent.sleep(TICK_S)
 
@@ -137,6 +152,10 @@
                 self.links.send(address, message)
             case ReadRows() | ReadObject() | Transact() | PutObject():
                 gevent.spawn(self._call_platform, effect)
+            case ReadHostList():
+                gevent.spawn(self._read_host_list)
+            case Probe(target):
+                gevent.spawn(self._probe, target)
             case ProposalEnded():
                 self.proposals.pop(effect.proposal_id).set(effect)
             case Report(event, fields):
@@ -154,6 +173,14 @@
         result: AttemptResult = result._replace(duration_s=duration_s)
         self.feed(AttemptEnded(effect.attempt_id, result))
 
+    def _read_host_list(self) -> None:
+        hosts = self.platform.hosts()
+        if hosts is not None:
+            self.feed(HostListRead(hosts))
+
+    def _probe(self, target: Target) -> None:
+        self.feed(self.prober.probe(target))
+
     def _confirm(self, attempt_id: int) -> bool:
         return self.host.confirm(time.monotonic(), attempt_id)
 
--- a/packages/entry/sardinewheel_entry/main.py
+++ b/packages/entry/sardinewheel_entry/main.py
@@ -26,6 +26,7 @@
 from sardinewheel_entry.settings import Settings  # noqa: E402
 
 EXIT_SETTINGS = 2
+FLUSH_TIMEOUT_S = 0.5
 
 
 def run(arguments: "Sardinewheeld") -> int:
@@ -82,11 +83,18 @@
     http.start()
     peers = driver.links.serve(settings.peer_address)
     gevent.spawn(peers.serve_forever)
-    gevent.signal_handler(signal.SIGTERM, driver.feed, StopOrdered())
-    gevent.signal_handler(signal.SIGINT, driver.feed, StopOrdered())
+
+    def leave() -> None:
+        http.is_leaving = True
+        driver.feed(StopOrdered())
+
+    gevent.signal_handler(signal.SIGTERM, leave)
+    gevent.signal_handler(signal.SIGINT, leave)
     log.info("started", incarnation=identity.incarnation)
-    driver.run()
-    http.stop()
+    driver.run(is_quiet=lambda: http.is_quiet)
+    http.close()
+    driver.run(is_quiet=lambda: http.is_quiet)
+    driver.links.flush(FLUSH_TIMEOUT_S)
     log.info("stopped")
 
 
--- a/packages/entry/sardinewheel_entry/peers.py
+++ b/packages/entry/sardinewheel_entry/peers.py
@@ -1,16 +1,26 @@
-"""Messages between entry hosts: WebSocket frames of CBOR."""
+"""Messages between entry hosts: WebSocket frames of CBOR.
+
+One link per peer address carries messages both ways. A link that a peer
+opened is used for what is sent to that peer, too.
+"""
 
 from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import cbor2
 import gevent
 import structlog
-from gevent.queue import Full, Queue
-from sardinewheel_core.codec import from_plain, to_plain
+from gevent.queue import Empty, Full, Queue
+from sardinewheel_core.codec import from_plain, to_compact
 from sardinewheel_core.errors import MessageError
-from sardinewheel_core.messages import PROTOCOL_VERSION, Message
+from sardinewheel_core.messages import (
+    PROTOCOL_MINOR,
+    PROTOCOL_VERSION,
+    Message,
+)
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
+from websockets.sync.connection import Connection
 from websockets.sync.server import Server, ServerConnection, serve
 
 from sardinewheel_entry import addresses
@@ -18,83 +28,261 @@
 MAX_MESSAGE_BYTES = 256 * 1024
 MAX_QUEUED = 256
 OPEN_TIMEOUT_S = 1.0
-IDLE_TIMEOUT_S = 30.0
+CLOSE_TIMEOUT_S = 0.5
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 10.0
+FLUSH_POLL_S = 0.01
 
 log = structlog.get_logger()
 
 
-def encode(sender: str, message: Message) -> bytes:
+class UnknownMessageError(MessageError):
+    """A peer of a newer minor version sent what this one does not know."""
+
+
+class Envelope(NamedTuple):
+    """A message with who sent it.
+
+    Attributes:
+        sender: Seat name of the sender.
+        address: Peer address of the sender, or empty.
+        message: The message.
+    """
+
+    sender: str
+    address: str
+    message: Message
+
+
+class PeerCounters:
+    """Control traffic of this host so far, frames without their headers."""
+
+    def __init__(self):
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.received_bytes = 0
+        self.received_messages = 0
+        self.refused_messages = 0
+        self.dropped_messages = 0
+
+    def as_dict(self) -> dict[str, int]:
+        """Returns the counts by name."""
+        return dict(vars(self))
+
+
+def encode(sender: str, message: Message, *, address: str = "") -> bytes:
     """Returns a message as one CBOR frame."""
-    frame = {"v": PROTOCOL_VERSION, "from": sender, "body": to_plain(message)}
+    frame = {
+        "v": PROTOCOL_VERSION,
+        "m": PROTOCOL_MINOR,
+        "from": sender,
+        "at": address,
+        "body": to_compact(message),
+    }
     return cbor2.dumps(frame)
 
 
-def decode(data: bytes) -> tuple[str, Message]:
+def decode(data: bytes | str) -> Envelope:
     """Returns sender and message of one CBOR frame.
 
     Raises:
-        MessageError: The frame is malformed or of an unknown kind.
+        UnknownMessageError: The frame of a newer minor version has a message
+            that is not known here.
+        MessageError: The frame is malformed or of another version.
     """
+    frame = _loads(data)
+    sender, address = frame.get("from"), frame.get("at", "")
+    if not isinstance(sender, str) or not isinstance(address, str):
+        raise MessageError("$.from: expected the sender's name and address")
+    if frame.get("v") != PROTOCOL_VERSION:
+        raise MessageError(f"$.v: expected version {PROTOCOL_VERSION}")
+    minor = frame.get("m", 0)
+    if type(minor) is not int:
+        raise MessageError("$.m: expected a minor version")
+    try:
+        message = from_plain(frame.get("body"), Message, "$.body")
+    except MessageError as error:
+        if minor > PROTOCOL_MINOR:
+            raise UnknownMessageError(str(error)) from None
+        raise
+    return Envelope(sender, address, message)
+
+
+def _loads(data: bytes | str) -> dict[str, Any]:
+    if not isinstance(data, bytes):
+        raise MessageError("expected a binary frame")
     try:
         frame = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
-        raise MessageError(f"not CBOR: {error}") from error
-    if not isinstance(frame, dict) or not isinstance(frame.get("from"), str):
-        raise MessageError("$: expected a map with the sender's name")
-    return frame["from"], from_plain(frame.get("body"), Message, "$.body")
+    except Exception as error:  # cbor2 raises many kinds on hostile input.
+        raise MessageError(f"not CBOR: {type(error).__name__}") from error
+    if not isinstance(frame, dict):
+        raise MessageError("$: expected a map")
+    return frame
+
+
+class Link:
+    """Queue of messages to one peer address.
+
+    Attributes:
+        queue: Frames to send; ``None`` ends the link.
+        is_full: Whether a message was dropped since the queue had room.
+    """
+
+    def __init__(self):
+        self.queue: Queue = Queue(MAX_QUEUED)
+        self.is_full = False
+
+    def put(self, frame: bytes) -> bool:
+        """Queues a frame; says whether there was room."""
+        try:
+            self.queue.put_nowait(frame)
+        except Full:
+            return False
+        self.is_full = False
+        return True
+
+    def close(self) -> None:
+        """Ends the link after what is queued, at once if that is too much."""
+        try:
+            self.queue.put_nowait(None)
+        except Full:
+            self.queue = Queue(MAX_QUEUED)
 
 
 class PeerLinks:
-    """Outgoing links, one per peer address, opened when first used."""
+    """Links to other entry hosts, opened when first used.
 
-    def __init__(self, own: str, on_message: Callable[[str, Message], None]):
+    Attributes:
+        own: Seat name of this host.
+        address: Peer address of this host.
+        links: Links by peer address.
+        counters: Control traffic so far.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        on_message: Callable[[str, Message], None],
+        *,
+        address: str = "",
+    ):
         self.own = own
         self.on_message = on_message
-        self.queues: dict[str, Queue] = {}
+        self.address = address
+        self.links: dict[str, Link] = {}
+        self.counters = PeerCounters()
 
     def send(self, address: str, message: Message) -> None:
         """Queues a message; drops it when the peer does not keep up."""
-        queue = self.queues.get(address)
-        if queue is None:
-            queue = self.queues[address] = Queue(MAX_QUEUED)
-            gevent.spawn(self._pump, address, queue)
-        try:
-            queue.put_nowait(encode(self.own, message))
-        except Full:
-            log.warning("peer-queue-full", address=address)
+        link = self.links.get(address)
+        if link is None:
+            link = self.links[address] = Link()
+            gevent.spawn(self._open, address, link)
+        frame = encode(self.own, message, address=self.address)
+        if not link.put(frame):
+            self.counters.dropped_messages += 1
+            if not link.is_full:
+                link.is_full = True
+                log.warning("peer-queue-full", address=address)
 
     def serve(self, address: str) -> Server:
         """Returns a server for peers that connect to this host."""
         host, port = addresses.split(address)
         return serve(
-            self._receive,
+            self._accept,
             host,
             port,
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
 
-    def _pump(self, address: str, queue: Queue) -> None:
-        """Sends queued messages until the peer is idle or unreachable."""
+    def flush(self, timeout_s: float) -> None:
+        """Waits until everything queued was sent, for a bounded time."""
+        with gevent.Timeout(timeout_s, False):
+            while any(link.queue.qsize() for link in self.links.values()):
+                gevent.sleep(FLUSH_POLL_S)
+
+    def _open(self, address: str, link: Link) -> None:
+        """Connects to a peer and serves the link until it ends."""
         try:
-            with connect(
+            connection = connect(
                 f"ws://{address}",
                 compression=None,
-                open_timeout=OPEN_TIMEOUT_S,
                 max_size=MAX_MESSAGE_BYTES,
-            ) as connection:
-                while True:
-                    connection.send(queue.get(timeout=IDLE_TIMEOUT_S))
-        except (OSError, WebSocketException, gevent.queue.Empty):
-            pass
+                open_timeout=OPEN_TIMEOUT_S,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+            )
+        except (OSError, WebSocketException):
+            self._forget(address, link)
+            return
+        reader = gevent.spawn(self._read, connection, link)
+        try:
+            self._write(connection, link)
+        finally:
+            self._forget(address, link)
+            connection.close()
+            reader.join()
+
+    def _accept(self, connection: ServerConnection) -> None:
+        """Serves a connection that a peer opened."""
+        link = Link()
+        writer = gevent.spawn(self._write, connection, link)
+        try:
+            self._read(connection, link, is_accepted=True)
         finally:
-            self.queues.pop(address, None)
+            for address, known in list(self.links.items()):
+                if known is link:
+                    del self.links[address]
+            link.close()
+            connection.close()
+            writer.join(CLOSE_TIMEOUT_S)
+            writer.kill()
 
-    def _receive(self, connection: ServerConnection) -> None:
+    def _read(
+        self, connection: Connection, link: Link, *, is_accepted: bool = False
+    ) -> None:
+        """Takes in messages until the connection ends or one is refused."""
         try:
             for data in connection:
-                self.on_message(*decode(data))
+                self.counters.received_messages += 1
+                self.counters.received_bytes += len(data)
+                self._take_in(data, link if is_accepted else None)
         except MessageError as error:
-            log.warning("peer-message-refused", error=str(error))
-        except (OSError, WebSocketException):
+            self.counters.refused_messages += 1
+            log.warning("peer-message-refused", error=str(error)[:200])
+        except (OSError, WebSocketException) as error:
+            log.debug("peer-link-ended", error=str(error)[:200])
+        finally:
+            link.close()
+
+    def _take_in(self, data: bytes | str, link: Link | None) -> None:
+        try:
+            envelope = decode(data)
+        except UnknownMessageError as error:
+            log.info("peer-message-skipped", error=str(error)[:200])
+            return
+        if link is not None and envelope.address:
+            self.links.setdefault(envelope.address, link)
+        self.on_message(envelope.sender, envelope.message)
+
+    def _write(self, connection: Connection, link: Link) -> None:
+        """Sends queued messages until the link is idle or ends."""
+        queue = link.queue
+        try:
+            while (frame := queue.get(timeout=IDLE_TIMEOUT_S)) is not None:
+                connection.send(frame)
+                self.counters.sent_messages += 1
+                self.counters.sent_bytes += len(frame)
+        except (OSError, WebSocketException, Empty):
             pass
+
+    def _forget(self, address: str, link: Link) -> None:
+        if self.links.get(address) is link:
+            del self.links[address]
--- /dev/null
+++ b/tests/core/test_codec.py
@@ -0,0 +1,111 @@
+"""Both plain forms, versions that differ, and bad input."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sardinewheel_core.change import Change, SetCap, StartDrain
+from sardinewheel_core.codec import from_plain, to_compact, to_plain
+from sardinewheel_core.errors import MessageError
+from sardinewheel_core.intent import Drain, Intent, Subject
+from sardinewheel_core.messages import (
+    ChangesSent,
+    Heartbeat,
+    HostState,
+    LoanGranted,
+    Message,
+    Phase,
+)
+
+STATE = HostState("a-1", 7, 3, "a", "h", "p", Phase.READY, 2, 0)
+CHANGE = Change(
+    1, "c", "ana", (SetCap("r", 4), StartDrain(Drain(Subject.TARGET, "t")))
+)
+PLAIN = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8)
+    | st.sampled_from(["Heartbeat", "ChangesSent", "type", "states", "SetCap"]),
+    lambda inner: (
+        st.lists(inner, max_size=6)
+        | st.dictionaries(
+            st.sampled_from(["type", "states", "changes", "after", "name"]),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=20,
+)
+
+
+@pytest.mark.parametrize("to_form", [to_plain, to_compact])
+@pytest.mark.parametrize(
+    "message", [Heartbeat((STATE,)), ChangesSent((CHANGE,))]
+)
+def test_both_forms_come_back(to_form, message):
+    assert from_plain(to_form(message), Message) == message
+
+
+@pytest.mark.parametrize("to_form", [to_plain, to_compact])
+def test_whole_intent_comes_back(to_form):
+    drain = Drain(Subject.TARGET, "t")
+    intent = Intent.empty()._replace(
+        version=9, drains={(Subject.TARGET, "t"): drain}
+    )
+    assert from_plain(to_form(intent), Intent) == intent
+
+
+def test_fields_of_a_newer_version_are_dropped():
+    newer = [*to_compact(STATE)]
+    newer += [*[()] * (len(HostState._fields) + 1 - len(newer)), "new"]
+    newer[HostState._fields.index("successor") + 1] = ""
+    assert from_plain(newer, HostState) == STATE
+    assert from_plain({**to_plain(STATE), "new": 1}, HostState) == STATE
+
+
+@pytest.mark.parametrize(
+    "plain",
+    [
+        ["LoanGranted", "r", 1, 2, float("nan")],
+        ["LoanGranted", "r", 1, 2, float("inf")],
+        ["LoanGranted", "r", 2**70, 2, 1.0],
+        ["LoanGranted", b"r", 1, 2, 1.0],
+        ["LoanGranted", "r", True, 2, 1.0],
+        ["LoanGranted", "r"],
+        ["HostState"],
+        ["Change", 1],
+        [["Heartbeat"]],
+        [],
+        {"type": "Heartbeat", "states": [["SetCap", "r", 4]]},
+        {"type": ["Heartbeat"]},
+        None,
+    ],
+)
+def test_wrong_values_are_message_errors(plain):
+    with pytest.raises(MessageError):
+        from_plain(plain, Message)
+
+
+def test_deep_nesting_is_a_message_error():
+    plain = []
+    for _ in range(100_000):
+        plain = [plain]
+    for kind in (Message, Change, LoanGranted, Intent):
+        with pytest.raises(MessageError):
+            from_plain(plain, kind)
+        with pytest.raises(MessageError):
+            from_plain(["Heartbeat", plain], Message)
+    while plain:
+        plain = plain[0]
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(PLAIN)
+def test_only_message_errors_come_out(plain):
+    for kind in (Message, Intent, Change):
+        with contextlib.suppress(MessageError):
+            from_plain(plain, kind)
