--- a/packages/testing/sardinewheel_testing/baselines.py
+++ b/packages/testing/sardinewheel_testing/baselines.py
@@ -19,8 +19,8 @@
 OK = 200
 POLL_S = 1.0
 POLL_TIMEOUT_S = 0.5
-BACKOFF_S = 0.05
-MAX_ATTEMPTS = 4
+MIN_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
 DOWN_S = 5.0
 
 
@@ -34,15 +34,7 @@
 
 
 class Policy(Protocol):
-    """Chooses a target for a request.
-
-    Attributes:
-        max_attempts: How often a request is tried.
-        backoff_s: Seconds before it is tried again.
-    """
-
-    max_attempts: int
-    backoff_s: float
+    """Chooses a target for a request."""
 
     def choose(self, targets: list[ListedTarget]) -> ListedTarget:
         """Returns one of some targets."""
@@ -52,9 +44,6 @@
 class RoundRobin:
     """Uses the listed targets in turn."""
 
-    max_attempts = MAX_ATTEMPTS
-    backoff_s = BACKOFF_S
-
     def __init__(self):
         self.turn = count()
 
@@ -63,18 +52,9 @@
         return targets[next(self.turn) % len(targets)]
 
 
-class NoAdmission(RoundRobin):
-    """Uses the targets in turn, and tries again until the deadline."""
-
-    max_attempts = 10_000
-
-
 class LeastLoad:
     """Uses the target that last reported the least in flight."""
 
-    max_attempts = MAX_ATTEMPTS
-    backoff_s = BACKOFF_S
-
     def __init__(
         self,
         *,
@@ -117,6 +97,8 @@
 class DirectSteering:
     """Callers that send to targets themselves.
 
+    They try again after an exponential backoff, until their deadline.
+
     Attributes:
         network: Connections to the targets.
         targets: The listed targets.
@@ -125,9 +107,15 @@
     """
 
     def __init__(
-        self, *, network: Network, targets: list[ListedTarget], policy: Policy
+        self,
+        *,
+        network: Network,
+        targets: list[ListedTarget],
+        policy: Policy,
+        rng: random.Random,
     ):
         self.network = network
+        self.rng = rng
         self.targets = targets
         self.policy = policy
         self.down: set[str] = set()
@@ -147,12 +135,14 @@
             )
             if is_open and not trail.call.rate.repeatable:
                 return trail.end(CallOutcome.UNKNOWN)
-            if len(trail.attempts) >= self.policy.max_attempts:
-                break
-            if not trail.wait(self.policy.backoff_s):
+            if not trail.wait(self._backoff_s(len(trail.attempts))):
                 break
         return trail.end(CallOutcome.REFUSED)
 
+    def _backoff_s(self, attempts: int) -> float:
+        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (attempts - 1))
+        return longest * (0.5 + 0.5 * self.rng.random())
+
     def _usable(self, service: str) -> list[ListedTarget]:
         """Returns the targets of the own region, or of others if none is up."""
         listed = [t for t in self.targets if t.service == service]
--- a/packages/testing/sardinewheel_testing/bench.py
+++ b/packages/testing/sardinewheel_testing/bench.py
@@ -13,9 +13,13 @@
 from sardinewheel_testing.bench_report import RunFigures, figures_of
 from sardinewheel_testing.experiments import EXPERIMENTS, Experiment
 from sardinewheel_testing.running import LoadPlan
-from sardinewheel_testing.scene import SARDINEWHEEL, Scene
+from sardinewheel_testing.scene import (
+    NO_ADMISSION,
+    SARDINEWHEEL,
+    Scene,
+)
 
-BASELINES = ("round-robin", "least-load", "no-admission")
+BASELINES = ("round-robin", "least-load", NO_ADMISSION)
 OUTPUT = Path("build/bench")
 DEFAULT_SCALE = 0.15
 DEFAULT_SEED = 7
--- a/packages/testing/sardinewheel_testing/bench_report.py
+++ b/packages/testing/sardinewheel_testing/bench_report.py
@@ -159,7 +159,7 @@
             "p50",
             "p99",
             "p99.9 weighty ms",
-            "goodput/s",
+            "goodput weight/s",
             "refused",
             "unknown",
             "least headroom",
--- a/packages/testing/sardinewheel_testing/caller.py
+++ b/packages/testing/sardinewheel_testing/caller.py
@@ -20,7 +20,6 @@
     DirectSteering,
     LeastLoad,
     ListedTarget,
-    NoAdmission,
     RoundRobin,
 )
 from sardinewheel_testing.calls import (  # noqa: E402
@@ -52,7 +51,7 @@
         region: Region in which they are.
         block: Address that they call from.
         steering: ``sardinewheel``, ``round-robin``, ``least-load`` or
-            ``no-admission``.
+            ``no-admission`` (round robin to targets that queue all).
         entry_hosts: Pairs of address and region of each entry host.
         targets: Fields of each listed target.
         rates: Fields of each :class:`~sardinewheel_testing.calls.Rate`.
@@ -97,13 +96,15 @@
         )
     policies = {
         "round-robin": RoundRobin,
-        "no-admission": NoAdmission,
+        "no-admission": RoundRobin,
         "least-load": lambda: LeastLoad(
             network=network, targets=targets, rng=rng
         ),
     }
     policy = policies[settings.steering]()
-    return DirectSteering(network=network, targets=targets, policy=policy)
+    return DirectSteering(
+        network=network, targets=targets, policy=policy, rng=rng
+    )
 
 
 class Caller:
--- a/packages/testing/sardinewheel_testing/scene.py
+++ b/packages/testing/sardinewheel_testing/scene.py
@@ -10,6 +10,8 @@
 from sardinewheel_testing.running import Counted, LoadPlan, RunningHouse
 
 SARDINEWHEEL = "sardinewheel"
+NO_ADMISSION = "no-admission"
+CONNECTIONS_PER_TARGET = 400
 QUIET_S = 1.0
 
 
@@ -57,7 +59,11 @@
         except BaseException:
             running.stop()
             raise
-        return cls(steering, running)
+        scene = cls(steering, running)
+        if steering == NO_ADMISSION:
+            targets = scene.house.targets()
+            running.set_targets(targets, queue=CONNECTIONS_PER_TARGET)
+        return scene
 
     @property
     def house(self) -> House:
