Rank entry hosts by their slots; let only work that waits for the cap hold units back

Cause: with no free room anywhere, a look-up listed hosts of one target as often as hosts of nine, and every refusal named the same three hosts; and a request that waited for a slot kept units of the cap from other services. Change: ranks draw by slots and free room; refusals name what a look-up would; only heads that a target has a slot for count as awaiting units.

--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -63,6 +63,8 @@
         target: Target of the attempt under way.
         occupancy: What the attempt under way occupies.
         waiting_since: When it began to wait for room, or nothing.
+        waits_for_units: Whether a target has a slot for it, but the region's
+            cap has no room.
         wait_until: When it has waited long enough to be refused.
         refused_by: Targets and hosts that said they did not run it.
         attempts: Attempts made so far.
@@ -84,6 +86,7 @@
         self.occupancy: Occupancy | None = None
         self.waiting_since: float | None = None
         self.wait_until = 0.0
+        self.waits_for_units = False
         self.refused_by: set[str] = set()
         self.attempts = 0
         self.dispatched_at = 0.0
--- a/packages/core/sardinewheel_core/filters/admission.py
+++ b/packages/core/sardinewheel_core/filters/admission.py
@@ -10,6 +10,7 @@
 from sardinewheel_core.occupancy import occupy
 from sardinewheel_core.queueing import MAX_WAIT_S, MAX_WAITING, WAIT_SHARE
 from sardinewheel_core.request import Reason
+from sardinewheel_core.targets import TargetState
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
@@ -23,15 +24,11 @@
         return refuse(host, now, exchange, Reason.NO_TARGET)
     if _comes_too_late(host, now, exchange):
         return refuse(host, now, exchange, Reason.DEADLINE)
-    if _may_go_now(host, now, exchange, slots):
-        target = host.targets.pick(
-            request.service,
-            now,
-            repeatable=request.repeatable,
-            excluded=frozenset(exchange.refused_by),
-        )
-        if target is not None and occupy(host, now, exchange, target):
-            return Continue()
+    target = _target_for(host, now, exchange, slots)
+    if target is not None and _fits_cap(host, now, exchange):
+        occupy(host, now, exchange, target)
+        return Continue()
+    exchange.waits_for_units = target is not None
     return _wait_or_refuse(host, now, exchange, slots)
 
 
@@ -64,23 +61,34 @@
     return max(1, slots - math.ceil(reserved * slots))
 
 
-def _may_go_now(
+def _target_for(
     host: "EntryHost", now: float, exchange: Exchange, slots: int
-) -> bool:
-    """Says whether nobody has an older claim to the room that is free."""
+) -> TargetState | None:
+    """Returns a target with room to which nobody has an older claim."""
     request = exchange.request
     line = host.line(request.service)
     priority = exchange.priority
-    has_waited = exchange.waiting_since is not None
-    if not has_waited and line.ahead_of(priority) > 0:
-        return False
+    if exchange.waiting_since is None and line.ahead_of(priority) > 0:
+        return None
     service = host.configuration.intent.services[request.service]
     used = sum(n for rank, n in line.in_flight.items() if rank >= priority)
     if used >= slots_for(service, priority, slots):
-        return False
+        return None
+    return host.targets.pick(
+        request.service,
+        now,
+        repeatable=request.repeatable,
+        excluded=frozenset(exchange.refused_by),
+    )
+
+
+def _fits_cap(host: "EntryHost", now: float, exchange: Exchange) -> bool:
+    """Says whether the cap has room beyond what more urgent work awaits."""
+    line = host.line(exchange.request.service)
+    has_waited = exchange.waiting_since is not None
     is_fair_turn = has_waited and line.is_fair_turn
-    awaited = 0 if is_fair_turn else _units_awaited(host, priority)
-    return request.weight + awaited <= host.allowance.room(now)
+    awaited = 0 if is_fair_turn else _units_awaited(host, exchange.priority)
+    return exchange.request.weight + awaited <= host.allowance.room(now)
 
 
 def _units_awaited(host: "EntryHost", priority: int) -> int:
@@ -89,7 +97,7 @@
         head
         for line in host.lines.values()
         for head in line.heads()
-        if head.priority < priority
+        if head.priority < priority and head.waits_for_units
     )
     return max((head.request.weight for head in heads), default=0)
 
--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -9,8 +9,6 @@
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
-HOSTS_PER_REFUSAL = 3
-
 
 def refuse(
     host: "EntryHost", now: float, exchange: Exchange, reason: Reason
@@ -20,11 +18,8 @@
     line = host.line(service)
     interval_s = line.executions.mean_s / max(1, host.targets.slots(service))
     after = line.returns.book(now, interval_s, host.rng)
-    elsewhere = sorted(
-        (s for s in host.membership.ready(now) if s.name != host.identity.name),
-        key=lambda s: -dict(s.rooms).get(service, 0),
-    )
-    names = tuple(s.name for s in elsewhere[:HOSTS_PER_REFUSAL])
+    found = host.look_up(now, service=service, block=exchange.request.block)
+    names = tuple(e.host for e in found.entries)
     refusal = Refusal(reason, after, names)
     answer = Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
     return Finish(answer)
--- a/packages/core/sardinewheel_core/lookup.py
+++ b/packages/core/sardinewheel_core/lookup.py
@@ -5,6 +5,7 @@
 
 from sardinewheel_core.intent import Intent
 from sardinewheel_core.messages import HostState
+from sardinewheel_core.ownership import slots_by_host
 from sardinewheel_core.ticket import Ticket
 
 TTL_S = 5.0
@@ -12,6 +13,7 @@
 HOSTS_PER_ANSWER = 3
 MAX_CANDIDATES = 16
 INDEX_VALID_S = 0.5
+SLOT_WEIGHT = 0.5
 
 
 class LookupEntry(NamedTuple):
@@ -58,7 +60,7 @@
 
         Hosts of the callers' own region come first, and among them those of
         failure domains with targets of the service. Within a rank the order is
-        random, weighted by free room.
+        random, weighted by slots and free room.
         """
         key = (region, service)
         if key not in self._tiers:
@@ -73,17 +75,16 @@
         return LookupAnswer(tuple(chosen), ttl_s)
 
     def _make_tiers(self, service: str, region: str | None) -> "Tiers":
-        known = self.intent.services.get(service)
-        targets = known.targets.values() if known else ()
-        domains = {target.domain for target in targets}
+        slots = slots_by_host(self.intent, service, self._ready)
         home = self.intent.regions.get(region)
         home_domains = set(home.domains) if home else set()
         tiers: Tiers = ([], [], [], [])
         for state in self._ready:
             is_far = state.domain not in home_domains
-            is_bare = state.domain not in domains
-            room = dict(state.rooms).get(service, 0)
-            candidate = Candidate(_entry(state), 1.0 / (1 + max(0, room)))
+            is_bare = slots[state.name] == 0
+            room = max(0, dict(state.rooms).get(service, 0))
+            weight = 1.0 + SLOT_WEIGHT * slots[state.name] + room
+            candidate = Candidate(_entry(state), 1.0 / weight)
             tiers[2 * is_far + is_bare].append(candidate)
         return tiers
 
--- a/packages/core/sardinewheel_core/ownership.py
+++ b/packages/core/sardinewheel_core/ownership.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+from collections import Counter
 
 from sardinewheel_core.intent import Intent, Target
 from sardinewheel_core.messages import HostState
@@ -42,6 +43,31 @@
     return owned
 
 
+def slots_by_host(
+    intent: Intent, service: str, ready: list[HostState]
+) -> Counter[str]:
+    """Returns the slots of a service that each host dispatches to.
+
+    Args:
+        intent: Intent in force.
+        service: Name of the service.
+        ready: Live hosts that take requests.
+    """
+    slots: Counter[str] = Counter()
+    known = intent.services.get(service)
+    by_domain: dict[str, list[Target]] = {}
+    for target in known.targets.values() if known else ():
+        by_domain.setdefault(target.domain, []).append(target)
+    for domain, targets in by_domain.items():
+        hosts = [s.name for s in ready if s.domain == domain]
+        if not hosts:
+            continue
+        owners = assign([t.name for t in targets], hosts)
+        for target in targets:
+            slots[owners[target.name]] += target.slots
+    return slots
+
+
 def assign(targets: list[str], hosts: list[str]) -> dict[str, str]:
     """Returns the host of each target: rendezvous hashing, evened out.
 
