Keep region caps: loans, seats, quarantine, pauses and shares by version

The core now has loans (lowered before granted, counted from asking, renewed under the same number, returned when idle), a row per seat in the platform's table (compare-and-set, lost answers settled by reading), quarantine after an unclean start or a pause, and shares that wait until every seat has lowered.

Faults that the tests found while this was written: a fresh holder ended its quarantine on the second read of its row; the first event after a pause was handled with the stale share; a pause seen at the instant of a dispatch let that dispatch out. Pauses are now detected before any event is handled.

--- a/packages/core/sardinewheel_core/allowance.py
+++ b/packages/core/sardinewheel_core/allowance.py
@@ -8,6 +8,7 @@
 moment it asked, so it always stops first.
 """
 
+import math
 from typing import NamedTuple
 
 from sardinewheel_core.intent import Intent
@@ -21,27 +22,57 @@
 SUPERSEDE_S = 3.0
 
 
-def share_of(intent: Intent, seat: str) -> int:
-    """Returns the weight units of its region's cap that a seat holds.
+def shares_of(intent: Intent, domain: str) -> dict[str, int]:
+    """Returns the weight units of each seat in the region of a domain.
 
-    The shares of a region's seats add up to its cap.
+    The shares add up to the region's cap.
+
+    Examples:
+        >>> from sardinewheel_core.intent import Region, Seat
+        >>> intent = Intent.empty()._replace(
+        ...     regions={"austro": Region("austro", 5, ("taller",))},
+        ...     seats={n: Seat(n, "taller") for n in ("taller-1", "taller-2")},
+        ... )
+        >>> shares_of(intent, "taller")
+        {'taller-1': 3, 'taller-2': 2}
     """
-    if seat not in intent.seats:
-        return 0
-    region = intent.region_of(intent.seats[seat].domain)
+    region = intent.region_of(domain)
     if region is None:
-        return 0
-    names = [s.name for s in intent.seats_of_region(region)]
-    cap = intent.regions[region].cap
-    base, rest = divmod(cap, len(names))
-    return base + (1 if names.index(seat) < rest else 0)
+        return {}
+    names = [seat.name for seat in intent.seats_of_region(region)]
+    if not names:
+        return {}
+    base, rest = divmod(intent.regions[region].cap, len(names))
+    return {name: base + (i < rest) for i, name in enumerate(names)}
+
+
+class LoanKey(NamedTuple):
+    """Identifies a loan on the lender's side.
+
+    Attributes:
+        borrower: Seat of the borrower.
+        incarnation: Incarnation of the borrower.
+        nonce: Number of the loan, unique in that incarnation.
+    """
+
+    borrower: str
+    incarnation: int
+    nonce: int
 
 
 class Loan(NamedTuple):
-    """Units that are lent or borrowed until an instant on the local clock."""
+    """Units lent or borrowed until an instant on the local clock.
+
+    Attributes:
+        units: Weight units.
+        until: On the borrower's side, the end of the loan; on the lender's,
+            the end of every request that may run on it.
+        lender: Seat of the lender.
+    """
 
     units: int
     until: float
+    lender: str = ""
 
 
 class Allowance:
@@ -50,7 +81,7 @@
     Attributes:
         share: Units that the configuration gives this seat.
         in_flight: Units in use.
-        lent: Loans given, by borrower and nonce.
+        lent: Loans given.
         borrowed: Loans taken, by nonce.
         usable_from: Instant from which the share may be used.
     """
@@ -58,24 +89,45 @@
     def __init__(self, *, usable_from: float = 0.0):
         self.share = 0
         self.in_flight = 0
-        self.lent: dict[tuple[str, int], Loan] = {}
+        self.lent: dict[LoanKey, Loan] = {}
         self.borrowed: dict[int, Loan] = {}
         self.usable_from = usable_from
 
+    def is_quarantined(self, now: float) -> bool:
+        """Says whether the share may not be used yet."""
+        return now < self.usable_from
+
+    def own_limit(self, now: float) -> int:
+        """Returns the units of the share that are usable and not lent."""
+        if self.is_quarantined(now):
+            return 0
+        return self.share - self.lent_units(now)
+
+    def lent_units(self, now: float) -> int:
+        """Returns the units that others may be using."""
+        return sum(x.units for x in self.lent.values() if x.until > now)
+
     def limit(self, now: float) -> int:
         """Returns the units that may be in flight now."""
-        own = 0
-        if now >= self.usable_from:
-            lent = sum(x.units for x in self.lent.values() if x.until > now)
-            own = self.share - lent
-        return own + sum(
-            x.units for x in self.borrowed.values() if x.until > now
+        loans = self.borrowed.values()
+        return self.own_limit(now) + sum(
+            x.units for x in loans if x.until > now
         )
 
     def room(self, now: float) -> int:
         """Returns the units that are free now."""
         return self.limit(now) - self.in_flight
 
+    def lendable(self, now: float) -> int:
+        """Returns the units that may be lent now.
+
+        The floor of the share and what is in flight stay here. Borrowed units
+        don't count: they are another host's.
+        """
+        own = self.own_limit(now)
+        floor = math.ceil(self.share * FLOOR_SHARE)
+        return max(0, own - max(floor, self.in_flight))
+
     def take(self, now: float, weight: int) -> bool:
         """Occupies units if they are free; says whether it did."""
         if weight > self.room(now):
@@ -86,3 +138,10 @@
     def give_back(self, weight: int) -> None:
         """Frees units that :meth:`take` occupied."""
         self.in_flight -= weight
+
+    def expire(self, now: float) -> None:
+        """Forgets loans that have ended."""
+        self.lent = {k: x for k, x in self.lent.items() if x.until > now}
+        self.borrowed = {
+            k: x for k, x in self.borrowed.items() if x.until > now
+        }
--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -6,8 +6,10 @@
     claims,
     dispatching,
     handover,
+    loans,
     proposals,
     rollout,
+    seats,
     stopping,
 )
 from sardinewheel_core.effects import (
@@ -24,6 +26,9 @@
     ChangesSent,
     ChangesWanted,
     Heartbeat,
+    LoanGranted,
+    LoanReturned,
+    LoanWanted,
     OutcomesHandedOn,
     OutcomesTaken,
     SnapshotPart,
@@ -37,7 +42,10 @@
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
     host.delegations.advance(now)
+    seats.on_tick(host, now)
     handover.on_tick(host, now)
+    host.allowance.share = host.shares.advance(now)
+    loans.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -52,7 +60,9 @@
     match event.message:
         case Heartbeat(states):
             host.membership.absorb(now, states)
-            host.is_superseded |= host.membership.is_superseded(states)
+            if host.membership.is_superseded(states):
+                seats.hear_superseded(host, now)
+            host.shares.hear(states)
             handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
@@ -61,6 +71,12 @@
             rollout.on_changes(host, now, event.sender, changes)
         case SnapshotPart():
             rollout.on_snapshot_part(host, now, event.sender, event.message)
+        case LoanWanted() as message:
+            loans.on_wanted(host, now, event.sender, message)
+        case LoanGranted() as message:
+            loans.on_granted(host, now, event.sender, message)
+        case LoanReturned() as message:
+            loans.on_returned(host, now, event.sender, message)
         case OutcomesHandedOn() as message:
             handover.on_handed_on(host, now, event.sender, message)
         case OutcomesTaken() as message:
@@ -77,9 +93,11 @@
         case RowsRead():
             rollout.on_rows(host, now, event)
             proposals.on_rows(host, now, event)
+            seats.on_rows(host, now, event)
         case TransactionEnded():
             proposals.on_transaction(host, now, event)
             claims.on_transaction(host, now, event)
+            seats.on_transaction(host, now, event)
         case ObjectRead():
             rollout.on_object(host, now, event)
 
@@ -105,4 +123,6 @@
         version=host.configuration.version,
         epoch=host.book.epoch,
         rooms=rooms,
+        spare=host.allowance.lendable(now),
+        settled=host.shares.settled,
     )
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -14,9 +14,10 @@
     pipeline,
     proposals,
     rollout,
+    seats,
     stopping,
 )
-from sardinewheel_core.allowance import Allowance
+from sardinewheel_core.allowance import QUARANTINE_S, Allowance
 from sardinewheel_core.blocks import BlockTable
 from sardinewheel_core.claims import ClaimQueue
 from sardinewheel_core.configuration import Configuration
@@ -43,12 +44,15 @@
 from sardinewheel_core.filters import at_most_once
 from sardinewheel_core.handover import HandoverState
 from sardinewheel_core.intent import Block, Intent
+from sardinewheel_core.loans import LoanBook
 from sardinewheel_core.lookup import LookupAnswer, LookupIndex
 from sardinewheel_core.membership import Membership
 from sardinewheel_core.messages import HostState, Phase
 from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
 from sardinewheel_core.queueing import WaitingLine
 from sardinewheel_core.request import Answer
+from sardinewheel_core.seats import SeatState
+from sardinewheel_core.shares import ShareHistory
 from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
 from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
@@ -82,6 +86,9 @@
         membership: Entry hosts that it knows of.
         configuration: Intent in force and the changes behind it.
         allowance: Its part of its region's cap.
+        shares: Its share by configuration version.
+        loans: Loans that it asked for.
+        seat: Its hold on its seat.
         book: Outcomes of requests that may not be repeated.
         targets: Targets that it dispatches to.
         lines: Waiting requests, by service.
@@ -102,7 +109,10 @@
             own=_first_state(identity), seeds=identity.seeds, rng=rng
         )
         self.configuration = Configuration()
-        self.allowance = Allowance()
+        self.allowance = Allowance(usable_from=now + QUARANTINE_S)
+        self.shares = ShareHistory(seat=identity.name, domain=identity.domain)
+        self.loans = LoanBook()
+        self.seat = SeatState(now=now)
         self.book = OutcomeBook(started_at=now)
         self.targets = TargetPool(rng=rng)
         self.lines: dict[str, WaitingLine] = {}
@@ -132,6 +142,7 @@
             event: What happened.
         """
         self.effects = []
+        seats.detect_pause(self, now)
         match event:
             case RequestArrived():
                 pipeline.on_request(self, now, event)
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -39,6 +39,8 @@
         successor: Host that answers for this incarnation once it is gone.
         answers_for: Pairs of seat name and incarnation of the stopped hosts
             for whose request ids this host answers.
+        spare: Weight units that it could lend within its region.
+        settled: Version that every seat of its region has reached for good.
     """
 
     name: str
@@ -53,6 +55,8 @@
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
     answers_for: tuple[tuple[str, int], ...] = ()
+    spare: int = 0
+    settled: int = 0
 
 
 class Heartbeat(NamedTuple):
@@ -90,20 +94,33 @@
 
 
 class LoanWanted(NamedTuple):
-    """Asks a host of the same region to lend units of the region's cap."""
+    """Asks a host of the same region to lend units of the region's cap.
+
+    Attributes:
+        region: Region of both hosts.
+        nonce: Number of the loan, unique in the borrower's incarnation; the
+            same when a loan is asked for again.
+        units: Weight units.
+        incarnation: Incarnation of the borrower.
+        round: Number of this ask.
+    """
 
     region: str
     nonce: int
     units: int
+    incarnation: int = 0
+    round: int = 0
 
 
 class LoanGranted(NamedTuple):
-    """Lends units for ``duration_s`` seconds, counted by the lender."""
+    """Lends units for ``duration_s`` seconds, counted from the ask."""
 
     region: str
     nonce: int
     units: int
     duration_s: float
+    incarnation: int = 0
+    round: int = 0
 
 
 class LoanReturned(NamedTuple):
@@ -111,6 +128,7 @@
 
     region: str
     nonce: int
+    incarnation: int = 0
 
 
 class OutcomeRecord(NamedTuple):
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import claims, occupancy
+from sardinewheel_core import claims, occupancy, seats
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -105,7 +105,9 @@
 def may_leave(host: "EntryHost", now: float, attempt_id: int) -> bool:
     """Says whether the first byte of an attempt may leave now."""
     exchange = host.exchanges.get(attempt_id)
-    if exchange is None or host.is_superseded:
+    if exchange is None:
+        return False
+    if not seats.may_send(host, now, ordered_at=exchange.dispatched_at):
         return False
     was_paused = now - exchange.dispatched_at > LEAVE_WITHIN_S
     return not was_paused and now < exchange.request.deadline
--- a/packages/core/sardinewheel_core/rollout.py
+++ b/packages/core/sardinewheel_core/rollout.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import allowance, dispatching, snapshots
+from sardinewheel_core import dispatching, snapshots
 from sardinewheel_core.change import Change
 from sardinewheel_core.configuration import (
     HEAD_KEY,
@@ -224,7 +224,8 @@
 def on_intent(host: "EntryHost", now: float) -> None:
     """Adapts this host to the intent that came into force."""
     intent = host.configuration.intent
-    host.allowance.share = allowance.share_of(intent, host.identity.name)
+    host.shares.take(host.configuration)
+    host.allowance.share = host.shares.advance(now)
     own = host.membership.own
     host.membership.own = own._replace(version=intent.version)
     _store_snapshot(host, now)
--- /dev/null
+++ b/packages/core/sardinewheel_core/seats.py
@@ -0,0 +1,289 @@
+"""Holding a seat: its row in the table, quarantine, pauses, release.
+
+The row ``seat/<name>`` names the incarnation that holds the seat and says
+whether it released it. A host that finds the seat released or never held uses
+its share at once; otherwise it waits ``QUARANTINE_S``, in which all that its
+predecessor had in flight or lent ends. The platform is never needed to go on:
+without it, the local clock decides.
+"""
+
+import json
+from typing import TYPE_CHECKING, NamedTuple
+
+from sardinewheel_core import stopping
+from sardinewheel_core.allowance import PAUSE_S, QUARANTINE_S, SUPERSEDE_S
+from sardinewheel_core.codec import from_plain, to_plain
+from sardinewheel_core.effects import (
+    ReadRows,
+    RowsRead,
+    Send,
+    Transact,
+    TransactionEnded,
+)
+from sardinewheel_core.errors import MessageError
+from sardinewheel_core.messages import Heartbeat
+
+if TYPE_CHECKING:
+    from sardinewheel_core.host import EntryHost
+
+CHECK_INTERVAL_S = 10.0
+RETRY_S = 1.0
+NOTICE_INTERVAL_S = 0.5
+RELEASE_TIMEOUT_S = 2.0
+KEY_PREFIX = "seat/"
+
+
+class SeatRow(NamedTuple):
+    """Value of a seat's row.
+
+    Attributes:
+        incarnation: Incarnation that claimed the seat.
+        address: Peer address of that incarnation.
+        is_released: Whether it left with nothing in flight and nothing lent.
+    """
+
+    incarnation: int
+    address: str
+    is_released: bool
+
+
+class SeatState:
+    """What this host knows of its own seat.
+
+    Attributes:
+        ticked_at: Instant of the last tick.
+        woke_at: Instant at which the end of the latest pause was noticed.
+        held_from: Instant from which everything of earlier holders has ended.
+        resume_from: Instant from which a newer holder would be known after
+            the latest pause.
+        is_claimed: Whether the row names this incarnation.
+        row_version: Version of the row, as last read.
+        is_clean: Whether the row last read shows that nobody held the seat.
+        predecessor: Peer address of an earlier holder that may run still.
+        read_call: Read under way, or 0.
+        read_version: Configuration version in force when it began.
+        write_call: Transaction under way, or 0.
+        next_read_at: When the rows are read next.
+        next_notice_at: When the earlier holder is told next.
+        release_until: When the wait for the release ends, or 0.
+        is_released: Whether this host has given up the seat.
+    """
+
+    def __init__(self, *, now: float):
+        self.ticked_at = now
+        self.woke_at = float("-inf")
+        self.held_from = now + QUARANTINE_S
+        self.resume_from = now
+        self.is_claimed = False
+        self.row_version = 0
+        self.is_clean = False
+        self.predecessor = ""
+        self.read_call = 0
+        self.read_version = 0
+        self.write_call = 0
+        self.next_read_at = now
+        self.next_notice_at = now
+        self.release_until = 0.0
+        self.is_released = False
+
+
+def key_of(seat: str) -> str:
+    """Returns the key of a seat's row."""
+    return KEY_PREFIX + seat
+
+
+def detect_pause(host: "EntryHost", now: float) -> None:
+    """Quarantines a host whose ticks stopped for a while.
+
+    Called before any event is handled, so that nothing is dispatched or lent
+    on a share that a newer holder may use by now.
+    """
+    state = host.seat
+    gap_s = now - state.ticked_at
+    if gap_s <= PAUSE_S:
+        return
+    state.ticked_at = now
+    state.woke_at = now
+    state.resume_from = now + SUPERSEDE_S
+    state.read_call = 0
+    state.next_read_at = state.resume_from
+    usable_from = max(host.allowance.usable_from, now + QUARANTINE_S)
+    host.allowance.usable_from = usable_from
+    host.report(now, "seat-paused", seat=host.identity.name, gap_s=gap_s)
+
+
+def on_tick(host: "EntryHost", now: float) -> None:
+    """Notes that the host runs and reads the rows when that is due."""
+    state = host.seat
+    state.ticked_at = now
+    _notify_predecessor(host, now)
+    if now < state.next_read_at or state.release_until:
+        return
+    interval_s = CHECK_INTERVAL_S if state.is_claimed else RETRY_S
+    state.next_read_at = now + interval_s
+    state.read_call = host.next_id()
+    state.read_version = host.configuration.version
+    names = sorted(host.shares.seats() | {host.identity.name})
+    host.emit(ReadRows(state.read_call, tuple(key_of(n) for n in names)))
+
+
+def may_send(host: "EntryHost", now: float, *, ordered_at: float) -> bool:
+    """Says whether a dispatch may leave; asked right before it does.
+
+    Args:
+        host: This host.
+        now: Time on the monotonic clock, in seconds.
+        ordered_at: When the dispatch was decided.
+    """
+    detect_pause(host, now)
+    state = host.seat
+    is_current = ordered_at > state.woke_at
+    return is_current and not state.is_released and not host.is_superseded
+
+
+def on_rows(host: "EntryHost", now: float, event: RowsRead) -> None:
+    """Takes in the rows of the region's seats."""
+    state = host.seat
+    if event.call_id != state.read_call:
+        return
+    state.read_call = 0
+    if event.failed:
+        state.next_read_at = now + RETRY_S
+        return
+    for key, version, value in event.rows:
+        row = _decode(value) if version else None
+        name = key.removeprefix(KEY_PREFIX)
+        if name == host.identity.name:
+            _on_own_row(host, now, version, row)
+        elif row is None or row.is_released:
+            # Whoever takes the seat next starts at this version or later.
+            host.shares.note_version(name, state.read_version)
+
+
+def on_transaction(
+    host: "EntryHost", now: float, event: TransactionEnded
+) -> None:
+    """Learns whether a claim or a release took effect."""
+    state = host.seat
+    if event.call_id != state.write_call:
+        return
+    state.write_call = 0
+    if state.release_until:
+        state.release_until = now
+        return
+    # A lost answer or a conflict is settled by reading the row.
+    state.next_read_at = now
+    if event.committed:
+        _on_claimed(host, now)
+        state.next_read_at = now + CHECK_INTERVAL_S
+
+
+def hear_superseded(host: "EntryHost", now: float) -> None:
+    """Gives up the seat to a newer incarnation."""
+    if host.is_superseded:
+        return
+    host.is_superseded = True
+    host.allowance.usable_from = float("inf")
+    host.allowance.borrowed.clear()
+    host.report(now, "seat-superseded", seat=host.identity.name)
+    stopping.on_stop(host, now)
+
+
+def release(host: "EntryHost", now: float) -> bool:
+    """Releases the seat of a host that is idle; says when that is over."""
+    state = host.seat
+    if state.release_until:
+        return now >= state.release_until
+    if not _may_release(host, now):
+        return True
+    state.is_released = True
+    state.release_until = now + RELEASE_TIMEOUT_S
+    host.allowance.usable_from = float("inf")
+    _write(host, is_released=True)
+    return False
+
+
+def _may_release(host: "EntryHost", now: float) -> bool:
+    allowance = host.allowance
+    is_empty = not allowance.in_flight and not allowance.lent_units(now)
+    was_held = not allowance.is_quarantined(now)
+    return (
+        host.seat.is_claimed
+        and not host.is_superseded
+        and is_empty
+        and was_held
+    )
+
+
+def _on_own_row(
+    host: "EntryHost", now: float, version: int, row: SeatRow | None
+) -> None:
+    state = host.seat
+    own = host.identity.incarnation
+    if row is not None and row.incarnation > own:
+        hear_superseded(host, now)
+    elif row is not None and row.incarnation == own:
+        state.row_version = version
+        _on_claimed(host, now)
+    elif not state.write_call:
+        state.row_version = version
+        state.is_clean = row is None or row.is_released
+        state.predecessor = "" if state.is_clean else row.address
+        state.next_notice_at = now
+        _write(host, is_released=False)
+
+
+def _on_claimed(host: "EntryHost", now: float) -> None:
+    """Ends the quarantine as early as the row allows."""
+    state = host.seat
+    if not state.is_claimed:
+        state.is_claimed = True
+        state.row_version += 1
+        if state.is_clean:
+            state.held_from = now
+    # A newer holder may have started without the platform: after a pause,
+    # wait until it would be known.
+    usable_from = max(state.held_from, state.resume_from)
+    if host.is_superseded or usable_from >= host.allowance.usable_from:
+        return
+    host.allowance.usable_from = usable_from
+    host.report(
+        now,
+        "seat-held",
+        seat=host.identity.name,
+        after_s=round(max(0.0, usable_from - now), 3),
+    )
+
+
+def _notify_predecessor(host: "EntryHost", now: float) -> None:
+    state = host.seat
+    is_due = state.predecessor and now >= state.next_notice_at
+    if is_due and host.allowance.is_quarantined(now):
+        state.next_notice_at = now + NOTICE_INTERVAL_S
+        heartbeat = Heartbeat((host.membership.own,))
+        host.emit(Send("", state.predecessor, heartbeat))
+
+
+def _write(host: "EntryHost", *, is_released: bool) -> None:
+    state = host.seat
+    key = key_of(host.identity.name)
+    state.write_call = host.next_id()
+    identity = host.identity
+    change_id = f"{key}/{identity.incarnation}/{state.write_call}"
+    row = SeatRow(identity.incarnation, identity.peer_address, is_released)
+    host.emit(
+        Transact(
+            state.write_call,
+            change_id,
+            checks=((key, state.row_version),),
+            writes=((key, json.dumps(to_plain(row))),),
+        )
+    )
+
+
+def _decode(value: str) -> SeatRow | None:
+    """Returns a row; a malformed one counts as held by nobody known."""
+    try:
+        return from_plain(json.loads(value), SeatRow)
+    except (ValueError, MessageError):
+        return SeatRow(0, "", False)
--- a/packages/core/sardinewheel_core/stopping.py
+++ b/packages/core/sardinewheel_core/stopping.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import handover
+from sardinewheel_core import handover, seats
 from sardinewheel_core.effects import Exit, Send
 from sardinewheel_core.messages import Phase
 
@@ -21,7 +21,9 @@
 
 def on_tick(host: "EntryHost", now: float) -> None:
     """Exits once nothing is in flight."""
-    if host.phase is Phase.LEAVING and _is_idle(host, now):
+    if host.phase is not Phase.LEAVING or not _is_idle(host, now):
+        return
+    if seats.release(host, now):
         host.emit(Exit())
 
 
--- a/tests/core/cluster.py
+++ b/tests/core/cluster.py
@@ -70,6 +70,7 @@
         )
         self.hosts[name] = host
         host.rollout.synced = True
+        host.allowance.usable_from = self.now
         take_changes(host, self.now, (house(),), "test")
         for effect in host.handle(self.now, Ticked()):
             if isinstance(effect, Send):
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -53,6 +53,7 @@
             identity=identity, rng=random.Random(1), now=self.now
         )
         self.host.rollout.synced = True
+        self.host.allowance.usable_from = self.now
         take_changes(self.host, self.now, (change,), "test")
         for state in self.host.targets.states.values():
             state.limit = state.target.slots
