--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -8,9 +8,11 @@
     drains,
     handover,
     leaving,
+    loans,
     probing,
     proposals,
     rollout,
+    seats,
     stopping,
 )
 from sardinewheel_core.effects import (
@@ -27,6 +29,9 @@
     ChangesSent,
     ChangesWanted,
     Heartbeat,
+    LoanGranted,
+    LoanReturned,
+    LoanWanted,
     OutcomesHandedOn,
     OutcomesTaken,
     SnapshotPart,
@@ -41,7 +46,10 @@
     host.book.advance(now)
     leaving.on_tick(host, now)
     host.delegations.advance(now)
+    seats.on_tick(host, now)
     handover.on_tick(host, now)
+    host.allowance.share = host.shares.advance(now)
+    loans.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -59,7 +67,8 @@
         case Heartbeat(states):
             host.membership.absorb(now, states)
             if host.membership.is_superseded(states):
-                stopping.on_superseded(host, now)
+                seats.hear_superseded(host, now)
+            host.shares.hear(states)
             handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
@@ -68,6 +77,12 @@
             rollout.on_changes(host, now, event.sender, changes)
         case SnapshotPart():
             rollout.on_snapshot_part(host, now, event.sender, event.message)
+        case LoanWanted() as message:
+            loans.on_wanted(host, now, event.sender, message)
+        case LoanGranted() as message:
+            loans.on_granted(host, now, event.sender, message)
+        case LoanReturned() as message:
+            loans.on_returned(host, now, event.sender, message)
         case OutcomesHandedOn() as message:
             handover.on_handed_on(host, now, event.sender, message)
         case OutcomesTaken() as message:
@@ -84,9 +99,11 @@
         case RowsRead():
             rollout.on_rows(host, now, event)
             proposals.on_rows(host, now, event)
+            seats.on_rows(host, now, event)
         case TransactionEnded():
             proposals.on_transaction(host, now, event)
             claims.on_transaction(host, now, event)
+            seats.on_transaction(host, now, event)
         case ObjectRead():
             rollout.on_object(host, now, event)
 
@@ -113,4 +130,6 @@
         rooms=rooms,
         leaving=leaving_targets,
         drained=drained,
+        spare=host.allowance.lendable(now),
+        settled=host.shares.settled,
     )
