--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -2,12 +2,22 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import dispatching, handover, rollout, stopping
+from sardinewheel_core import (
+    claims,
+    dispatching,
+    handover,
+    proposals,
+    rollout,
+    stopping,
+)
 from sardinewheel_core.effects import (
     HostListRead,
     LoadRead,
     MessageArrived,
+    ObjectRead,
+    RowsRead,
     Send,
+    TransactionEnded,
 )
 from sardinewheel_core.filters.admission import room_for
 from sardinewheel_core.messages import (
@@ -16,6 +26,7 @@
     Heartbeat,
     OutcomesHandedOn,
     OutcomesTaken,
+    SnapshotPart,
 )
 
 if TYPE_CHECKING:
@@ -31,6 +42,7 @@
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
     rollout.poll(host, now)
+    proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
     stopping.on_tick(host, now)
 
@@ -42,17 +54,36 @@
             host.membership.absorb(now, states)
             host.is_superseded |= host.membership.is_superseded(states)
             handover.learn_successors(host, states)
-            rollout.ask_for_changes(host, states)
+            rollout.ask_for_changes(host, now, states)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
-            rollout.take_changes(host, now, changes, "peer")
+            rollout.on_changes(host, now, event.sender, changes)
+        case SnapshotPart():
+            rollout.on_snapshot_part(host, now, event.sender, event.message)
         case OutcomesHandedOn() as message:
             handover.on_handed_on(host, now, event.sender, message)
         case OutcomesTaken() as message:
             handover.on_taken(host, now, message)
 
 
+def on_platform(
+    host: "EntryHost",
+    now: float,
+    event: RowsRead | TransactionEnded | ObjectRead,
+) -> None:
+    """Takes in an answer of the platform; each part knows its own calls."""
+    match event:
+        case RowsRead():
+            rollout.on_rows(host, now, event)
+            proposals.on_rows(host, now, event)
+        case TransactionEnded():
+            proposals.on_transaction(host, now, event)
+            claims.on_transaction(host, now, event)
+        case ObjectRead():
+            rollout.on_object(host, now, event)
+
+
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
     """Takes in the platform's list of hosts, as a hint about targets."""
 
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sardinewheel_core.change import Change
+from sardinewheel_core.ticket import Owner
 
 PROTOCOL_VERSION = 1
 
@@ -37,8 +38,7 @@
         epoch: Ticket epoch of the host.
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
-        answers_for: Pairs of seat name and incarnation of the stopped hosts
-            for whose request ids this host answers.
+        answers_for: Stopped incarnations whose request ids it answers for.
     """
 
     name: str
@@ -52,7 +52,7 @@
     epoch: int
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
-    answers_for: tuple[tuple[str, int], ...] = ()
+    answers_for: tuple[Owner, ...] = ()
 
 
 class Heartbeat(NamedTuple):
@@ -73,6 +73,22 @@
     changes: tuple[Change, ...]
 
 
+class SnapshotPart(NamedTuple):
+    """Part of a whole intent, for a host that is far behind.
+
+    Attributes:
+        version: Version of the intent.
+        part: Index of this part, from 0.
+        parts: Number of parts.
+        text: Piece of the intent's JSON text.
+    """
+
+    version: int
+    part: int
+    parts: int
+    text: str
+
+
 class LoanWanted(NamedTuple):
     """Asks a host of the same region to lend units of the region's cap."""
 
@@ -151,6 +167,7 @@
     Heartbeat
     | ChangesWanted
     | ChangesSent
+    | SnapshotPart
     | LoanWanted
     | LoanGranted
     | LoanReturned
@@ -162,6 +179,7 @@
     Heartbeat,
     ChangesWanted,
     ChangesSent,
+    SnapshotPart,
     LoanWanted,
     LoanGranted,
     LoanReturned,
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -307,7 +307,9 @@
         line.observe(result.duration_s)
     elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
-        exchange.refused_by.add(state.target.name)
+        # After a lost connection the same target may answer on a new one.
+        if result.ending is not Ending.LOST:
+            exchange.refused_by.add(state.target.name)
 
 
 def _may_try_again(exchange: Exchange, result: AttemptResult) -> bool:
--- a/packages/entry/sardinewheel_entry/api/app.py
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -3,6 +3,7 @@
 import falcon
 from sardinewheel_core.errors import RequestError
 
+from sardinewheel_entry.api.changes import ChangeResource
 from sardinewheel_entry.api.histograms import HistogramsResource
 from sardinewheel_entry.api.lookups import LookupResource, LookupsResource
 from sardinewheel_entry.api.operators import ChangesResource, StatusResource
@@ -22,5 +23,6 @@
     app.add_route("/v1/histograms", HistogramsResource(driver))
     app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
     app.add_route("/v1/changes", ChangesResource(driver))
+    app.add_route("/v1/changes/{change_id}", ChangeResource(driver))
     app.add_route("/v1/status", StatusResource(driver))
     return app
--- a/packages/entry/sardinewheel_entry/driver.py
+++ b/packages/entry/sardinewheel_entry/driver.py
@@ -11,6 +11,7 @@
     AttemptEnded,
     CancelArrived,
     CancelAttempt,
+    ChangeAsked,
     ChangeProposed,
     Dispatch,
     Effect,
@@ -19,11 +20,12 @@
     Forward,
     MessageArrived,
     ProposalEnded,
+    PutObject,
+    ReadObject,
     ReadRows,
     Reply,
     Report,
     RequestArrived,
-    RowsRead,
     Send,
     Ticked,
     Transact,
@@ -38,7 +40,7 @@
 from sardinewheel_entry.metrics import Metrics
 from sardinewheel_entry.payloads import Payload
 from sardinewheel_entry.peers import PeerLinks
-from sardinewheel_entry.platform_client import PlatformClient
+from sardinewheel_entry.platform_client import PlatformClient, PlatformEffect
 
 TICK_S = 0.1
 
@@ -107,8 +109,8 @@
         """Passes on that a caller no longer wants an answer."""
         self.feed(CancelArrived(request_id))
 
-    def propose(self, event: ChangeProposed) -> ProposalEnded:
-        """Proposes an operator's change and returns how that ended."""
+    def propose(self, event: ChangeProposed | ChangeAsked) -> ProposalEnded:
+        """Proposes a change, or asks about one; returns how that ended."""
         self.last_id += 1
         result = self.proposals[self.last_id] = AsyncResult()
         self.feed(event._replace(proposal_id=self.last_id))
@@ -129,10 +131,8 @@
                 self._answer(arrival_id, answer)
             case Send(_, address, message):
                 self.links.send(address, message)
-            case ReadRows():
-                gevent.spawn(self._read_rows, effect)
-            case Transact():
-                gevent.spawn(self._transact, effect)
+            case ReadRows() | ReadObject() | Transact() | PutObject():
+                gevent.spawn(self._call_platform, effect)
             case ProposalEnded():
                 self.proposals.pop(effect.proposal_id).set(effect)
             case Report(event, fields):
@@ -176,12 +176,7 @@
         )
         self._answer(effect.arrival_id, answer, response)
 
-    def _read_rows(self, effect: ReadRows) -> None:
-        rows = self.platform.read(effect.keys)
-        if rows is None:
-            self.feed(RowsRead(effect.call_id, (), failed=True))
-        else:
-            self.feed(RowsRead(effect.call_id, rows))
-
-    def _transact(self, effect: Transact) -> None:
-        self.feed(self.platform.transact(effect))
+    def _call_platform(self, effect: PlatformEffect) -> None:
+        event = self.platform.call(effect)
+        if event is not None:
+            self.feed(event)
--- a/tests/core/cluster.py
+++ b/tests/core/cluster.py
@@ -9,6 +9,7 @@
     DefineSeat,
     DefineService,
 )
+from sardinewheel_core.codec import from_plain, to_plain
 from sardinewheel_core.effects import (
     AttemptEnded,
     Dispatch,
@@ -24,9 +25,9 @@
 )
 from sardinewheel_core.host import EntryHost, Identity
 from sardinewheel_core.intent import Kind, Region, Seat, Service, Target
-from sardinewheel_core.messages import Heartbeat
+from sardinewheel_core.messages import Heartbeat, Message
 from sardinewheel_core.request import Outcome, Request
-from sardinewheel_core.rollout import take_changes
+from sardinewheel_core.rollout import become_ready, take_changes
 
 DOMAIN = "quito-bodega"
 NAMES = ("quito-1", "quito-2", "quito-3")
@@ -69,7 +70,9 @@
             identity=identity, rng=random.Random(incarnation), now=self.now
         )
         self.hosts[name] = host
+        host.rollout.synced = True
         take_changes(host, self.now, (house(),), "test")
+        become_ready(host, self.now)
         for effect in host.handle(self.now, Ticked()):
             if isinstance(effect, Send):
                 self.mail.append((name, effect.address, effect.message))
@@ -137,7 +140,8 @@
         mail, self.mail = self.mail, []
         for sender, address, message in mail:
             if address in self.hosts:
-                self.feed(address, MessageArrived(sender, message))
+                received = from_plain(to_plain(message), Message)
+                self.feed(address, MessageArrived(sender, received))
 
     def end(self, name, attempt_id, ending=Ending.ANSWERED, **fields):
         result = AttemptResult(ending, 200)._replace(**fields)
