--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 BIN := $(VENV)/bin
 HOUSE ?= vallejo
 PACKAGES := core entry cli testing
+SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo clean slopes
+.PHONY: setup test lint format demo model clean slopes
 
 setup: $(VENV)/.installed
 
@@ -15,6 +16,9 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
 	touch $@
 
+demo: setup
+	$(BIN)/python -m sardinewheel_testing.demo settings/$(HOUSE)
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -26,6 +30,9 @@
 test: setup lint
 	$(BIN)/python -m pytest
 
+model: setup
+	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
+
 clean:
 	rm -rf $(VENV)
 
--- a/packages/core/sardinewheel_core/claims.py
+++ b/packages/core/sardinewheel_core/claims.py
@@ -161,13 +161,13 @@
         return
     key = claim_key(exchange.request.id)
     if committed:
-        pipeline.execute(host, now, exchange)
+        _run(host, now, exchange)
     elif key not in rows:
         host.claims.waiting.append(exchange)
     elif rows[key] is None:
         _end(host, now, exchange, Reason.PLATFORM_AWAY)
     elif rows[key].change_id == change_id:
-        pipeline.execute(host, now, exchange)
+        _run(host, now, exchange)
     elif rows[key].owner == host.owner:
         # Its record is no longer in the book.
         _end(host, now, exchange, Reason.TICKET_EXPIRED)
@@ -176,6 +176,11 @@
         pipeline.hand_to_owner(host, now, exchange, rows[key].owner)
 
 
+def _run(host: "EntryHost", now: float, exchange: Exchange) -> None:
+    exchange.is_claimed = True
+    pipeline.execute(host, now, exchange)
+
+
 def _give_up(host: "EntryHost", now: float, exchange: Exchange) -> None:
     if not exchange.request.is_first:
         _end(host, now, exchange, Reason.PLATFORM_AWAY)
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -191,6 +191,10 @@
                     exchange.arrival_id, exchange.request.deadline
                 )
                 first.joined.append(arrival)
+                first.request = first.request._replace(
+                    is_first=first.request.is_first
+                    and exchange.request.is_first
+                )
                 return
             case Claim():
                 claims.add(host, now, exchange)
@@ -304,7 +308,7 @@
     if result.ending is Ending.ANSWERED:
         state.succeeded()
         line = host.line(exchange.request.service)
-        line.observe(result.duration_s)
+        line.executions.observe(result.duration_s)
     elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
         # After a lost connection the same target may answer on a new one.
@@ -325,6 +329,9 @@
 
 
 def _spend_retry(host: "EntryHost", exchange: Exchange) -> bool:
+    if exchange.stage is Stage.FORWARDED:
+        # A peer without room costs the targets nothing.
+        return True
     return host.line(exchange.request.service).budget.spend()
 
 
--- a/packages/entry/sardinewheel_entry/api/app.py
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -3,10 +3,9 @@
 import falcon
 from sardinewheel_core.errors import RequestError
 
-from sardinewheel_entry.api.changes import ChangeResource
+from sardinewheel_entry.api import operators
 from sardinewheel_entry.api.histograms import HistogramsResource
 from sardinewheel_entry.api.lookups import LookupResource, LookupsResource
-from sardinewheel_entry.api.operators import ChangesResource, StatusResource
 from sardinewheel_entry.api.outcomes import OutcomeResource
 from sardinewheel_entry.api.request_headers import answer_malformed
 from sardinewheel_entry.api.requests import RequestsResource
@@ -22,7 +21,5 @@
     app.add_route("/v1/requests/{request_id}", OutcomeResource(driver))
     app.add_route("/v1/histograms", HistogramsResource(driver))
     app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
-    app.add_route("/v1/changes", ChangesResource(driver))
-    app.add_route("/v1/changes/{change_id}", ChangeResource(driver))
-    app.add_route("/v1/status", StatusResource(driver))
+    operators.add_routes(app, driver)
     return app
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -125,7 +125,7 @@
     with ThreadPoolExecutor(4) as pool:
         names = house.names * 4
         replies = list(pool.map(lambda n: house.ask(n, "order-9"), names))
-    assert {outcome_of(reply) for reply in replies} == {"done"}
+    assert {(outcome_of(r), reason_of(r)) for r in replies} == {("done", None)}
     assert house.executions()["order-9"] == 1
     for name in house.names:
         assert outcome_of(house.outcome(name, "order-9")) == "done"
