--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -12,6 +12,7 @@
 from sardinewheel_core.ticket import Owner
 
 PROTOCOL_VERSION = 1
+PROTOCOL_MINOR = 0
 
 
 class Phase(StrEnum):
@@ -39,6 +40,8 @@
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
         answers_for: Stopped incarnations whose request ids it answers for.
+        leaving: Some targets that the host itself saw leaving.
+        drained: Some places that its version drains, as ``subject/name``.
     """
 
     name: str
@@ -53,6 +56,8 @@
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
     answers_for: tuple[Owner, ...] = ()
+    leaving: tuple[str, ...] = ()
+    drained: tuple[str, ...] = ()
 
 
 class Heartbeat(NamedTuple):
--- a/packages/testing/sardinewheel_testing/house.py
+++ b/packages/testing/sardinewheel_testing/house.py
@@ -7,11 +7,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from sardinewheel_core.change import Change, Operation, apply_change
-from sardinewheel_core.codec import from_plain
+from sardinewheel_cli import parser, script
+from sardinewheel_core.change import Change, apply_change
 from sardinewheel_core.intent import Intent
 
 ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
+INTENT_FILE = "intent.sardinewheel"
+BEHAVIOUR_FILE = "stand-ins.json"
 PORT_STEP = 500
 PORT_STEPS = 20
 FIRST_EXTRA_PORT = 200
@@ -35,7 +37,7 @@
     Attributes:
         name: Name of the folder.
         entry_hosts: Settings of each entry host.
-        operations: Operations that make the intent.
+        script: Commands that make the intent.
         intent: The intent that they make.
         stand_ins: How targets and callers behave.
         extra_addresses: Free addresses for what the folder does not name.
@@ -43,7 +45,7 @@
 
     name: str
     entry_hosts: list[dict]
-    operations: tuple[Operation, ...]
+    script: str
     intent: Intent
     stand_ins: dict
     extra_addresses: list[str]
@@ -60,16 +62,16 @@
         first = min(ports) + FIRST_EXTRA_PORT
         extra = range(first, first + MAX_EXTRA_PORTS)
         offset = _free_offset(ports | set(extra))
-        plain = {p: json.loads(_moved(t, offset)) for p, t in texts.items()}
-        changes = plain[folder / "intent.json"]["operations"]
-        operations = tuple(from_plain(item, Operation) for item in changes)
-        change = Change(1, "house", folder.name, operations)
+        moved = {p.name: _moved(t, offset) for p, t in texts.items()}
+        intent_script = moved.pop(INTENT_FILE)
+        plain = {name: json.loads(text) for name, text in moved.items()}
+        stand_ins = plain.pop(BEHAVIOUR_FILE)
         return cls(
             folder.name,
-            [v for p, v in plain.items() if p.parent.name == "entry-hosts"],
-            operations,
-            apply_change(Intent.empty(), change),
-            plain[folder / "stand-ins.json"],
+            list(plain.values()),
+            intent_script,
+            intent_of(intent_script),
+            stand_ins,
             [f"127.0.0.1:{port + offset}" for port in extra],
         )
 
@@ -107,9 +109,16 @@
         ]
 
 
+def intent_of(text: str) -> Intent:
+    """Returns the intent that a script of definitions makes."""
+    commands = [parser.parse(command.text) for command in script.split(text)]
+    operations = tuple(command.statement.operation for command in commands)
+    return apply_change(Intent.empty(), Change(1, "house", "", operations))
+
+
 def _files(folder: Path) -> list[Path]:
     hosts = sorted((folder / "entry-hosts").glob("*.json"))
-    return [folder / "intent.json", folder / "stand-ins.json", *hosts]
+    return [folder / INTENT_FILE, folder / BEHAVIOUR_FILE, *hosts]
 
 
 def _moved(text: str, offset: int) -> str:
--- a/packages/testing/sardinewheel_testing/running.py
+++ b/packages/testing/sardinewheel_testing/running.py
@@ -2,17 +2,16 @@
 
 import json
 import signal
+import subprocess
 import time
 from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
-from sardinewheel_core.change import Operation
-from sardinewheel_core.codec import to_plain
-
 from sardinewheel_testing.calls import CallResult, Surge, result_from_plain
-from sardinewheel_testing.house import House, TargetRow
+from sardinewheel_testing.house import INTENT_FILE, House, TargetRow
 from sardinewheel_testing.processes import (
+    BIN,
     HttpReply,
     Process,
     entry_host,
@@ -23,13 +22,15 @@
 from sardinewheel_testing.routes import Routes
 
 JSON_TYPE = {"Content-Type": "application/json"}
-CHANGE_TRIES = 5
-CHANGE_RETRY_S = 0.3
-CHANGE_TIMEOUT_S = 5.0
+OPERATE_TIMEOUT_S = 20.0
 END_TIMEOUT_S = 30.0
 START_DELAY_S = 1.5
 
 
+class OperatorError(Exception):
+    """An operator's command was not accepted."""
+
+
 class LoadPlan(NamedTuple):
     """The load of one run.
 
@@ -103,7 +104,7 @@
 
     def start(self) -> None:
         """Starts everything and waits until the intent is in force."""
-        self.folder.mkdir(parents=True, exist_ok=True)
+        self._clear_folder()
         self._start_platform()
         for region in self.house.regions:
             self._start_targets(region)
@@ -113,13 +114,15 @@
             self.start_host(settings["name"])
         for settings in self.house.entry_hosts:
             wait_until(lambda s=settings: self.status(s["name"]))
-        version = self.change(self.house.operations)
+        path = self.folder / INTENT_FILE
+        path.write_text(self.house.script, encoding="utf-8")
+        version = self.operate("--as-one", "-f", str(path))
         for settings in self.house.entry_hosts:
             wait_until(lambda s=settings: self._has(s["name"], version))
 
     def start_without_entry_hosts(self) -> None:
         """Starts what callers need that send to targets themselves."""
-        self.folder.mkdir(parents=True, exist_ok=True)
+        self._clear_folder()
         for region in self.house.regions:
             self._start_targets(region)
         for address in self.reports.values():
@@ -157,31 +160,28 @@
         address = self.settings_of(name)["http_address"]
         return http("GET", address, "/v1/status", timeout_s=2.0).media
 
-    def change(self, operations: tuple[Operation, ...]) -> int:
-        """Has a change accepted and returns its version.
+    def operate(self, *words: str) -> int:
+        """Runs a command of the operators' language.
+
+        Returns:
+            The version that it created.
 
         Raises:
-            RuntimeError: It was not accepted.
+            OperatorError: It was not accepted.
         """
-        body = {
-            "author": self.house.name,
-            "operations": [to_plain(o) for o in operations],
-        }
-        answer: object = "no entry host answered"
-        for attempt in range(CHANGE_TRIES):
-            name = sorted(self.hosts)[attempt % len(self.hosts)]
-            address = self.settings_of(name)["http_address"]
-            try:
-                reply = send_json(
-                    "POST", address, "/v1/changes", body, CHANGE_TIMEOUT_S
-                )
-                answer = reply.media
-                if answer["state"] == "accepted":
-                    return answer["version"]
-            except OSError as error:
-                answer = error
-            time.sleep(CHANGE_RETRY_S)
-        raise RuntimeError(f"change not accepted: {answer}")
+        hosts = [self.settings_of(name)["http_address"] for name in self.hosts]
+        options = [f"--host={address}" for address in hosts]
+        command = [str(BIN / "sardinewheel"), *options, "--json"]
+        ended = subprocess.run(
+            [*command, f"--author={self.house.name}", *words],
+            capture_output=True,
+            text=True,
+            timeout=OPERATE_TIMEOUT_S,
+            check=False,
+        )
+        if ended.returncode:
+            raise OperatorError(ended.stdout + ended.stderr)
+        return json.loads(ended.stdout)["change"]["version"]
 
     def seconds_until_in_force(self, version: int) -> float:
         """Waits until every entry host has a version in force."""
@@ -237,10 +237,7 @@
         for region in self.house.regions:
             path = self._results_path(region).with_suffix(".json.progress")
             if path.exists():
-                try:
-                    total.update(json.loads(path.read_text(encoding="utf-8")))
-                except json.JSONDecodeError:
-                    continue
+                total.update(json.loads(path.read_text(encoding="utf-8")))
         return total
 
     def finish_load(self) -> list[CallResult]:
@@ -272,6 +269,11 @@
         """Returns what one target counted."""
         return http("GET", target.address, "/control").media
 
+    def _clear_folder(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for path in self.folder.iterdir():
+            path.unlink()
+
     def _has(self, name: str, version: int) -> bool:
         status = self.status(name)
         return status["ready"] and status["intent"]["version"] >= version
