--- a/packages/cli/sardinewheel_cli/flows.py
+++ b/packages/cli/sardinewheel_cli/flows.py
@@ -1,7 +1,7 @@
-"""Where traffic flows, and how long it takes."""
+"""Where traffic flows, summed over entry hosts."""
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from sardinewheel_core.codec import to_plain
 from sardinewheel_core.traffic import TrafficView
@@ -63,12 +63,3 @@
             recent[key] += count.recent
             total[key] += count.total
     return [FlowSum(key, recent[key], total[key]) for key in sorted(total)]
-
-
-def latency(session: "Session", service: str) -> Output:
-    """Returns latency percentiles by service and kind."""
-    view = session.view()
-    answers, silent = session.ask_each(
-        view, "/v1/histograms", Any, service=service
-    )
-    return Output({"latency": answers, "silent": silent})
--- a/packages/cli/sardinewheel_cli/queries.py
+++ b/packages/cli/sardinewheel_cli/queries.py
@@ -9,7 +9,7 @@
 from sardinewheel_core.operator_messages import ChangeReply
 from sardinewheel_core.views import View
 
-from sardinewheel_cli import explanations, flows, rollouts, rooms
+from sardinewheel_cli import explanations, flows, latencies, rollouts, rooms
 from sardinewheel_cli.commands import Show
 from sardinewheel_cli.errors import AnswerRefusedError
 from sardinewheel_cli.formatter import format_intent, format_operation
@@ -31,7 +31,7 @@
         case "traffic":
             return flows.traffic(session, statement.by)
         case "latency":
-            return flows.latency(session, statement.name)
+            return latencies.latency(session, statement.name)
         case "repairs":
             return explanations.repairs(session)
         case "change":
--- a/packages/entry/sardinewheel_entry/api/operators.py
+++ b/packages/entry/sardinewheel_entry/api/operators.py
@@ -19,7 +19,6 @@
 
 def add_routes(app: falcon.App, driver: Driver) -> None:
     """Adds the operators' routes to an application."""
-    app.add_error_handler(RequestError, media.give_problem)
     app.add_route("/v1/changes", ChangesResource(driver))
     app.add_route("/v1/changes/{change_id}", ChangeResource(driver))
     app.add_route("/v1/versions", VersionsResource(driver))
