--- a/packages/cli/sardinewheel_cli/changes.py
+++ b/packages/cli/sardinewheel_cli/changes.py
@@ -127,7 +127,7 @@
     The change id and the base version make the question idempotent: at most
     one version is created under them.
     """
-    plain = to_plain(request)
+    plain = to_plain(request._replace(again=True))
     for _ in range(MAX_SETTLE_CALLS):
         session.client.demote_first()
         try:
--- a/packages/cli/sardinewheel_cli/flows.py
+++ b/packages/cli/sardinewheel_cli/flows.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
-from sardinewheel_core.codec import to_plain
 from sardinewheel_core.traffic import TrafficView
 
 from sardinewheel_cli.rollouts import unseen_notes
@@ -49,7 +48,13 @@
         f"last {total_s:.0f} s",
     )
     rows = tuple((*row.key, row.recent, row.total) for row in sums)
-    media = {"traffic": to_plain(answers), "silent": silent}
+    names = (*axes, "recent", "total")
+    media = {
+        "recent_s": recent_s,
+        "total_s": total_s,
+        "flows": [dict(zip(names, row, strict=True)) for row in rows],
+        "silent": silent,
+    }
     grid = Grid("requests", columns, rows)
     return Output(media, (grid,), unseen_notes(view, silent))
 
--- a/packages/cli/sardinewheel_cli/runner.py
+++ b/packages/cli/sardinewheel_cli/runner.py
@@ -11,10 +11,10 @@
 
 from sardinewheel_cli import script
 from sardinewheel_cli.commands import ChangeIntent, Command, Options
-from sardinewheel_cli.errors import ExitStatus, OperatorError
+from sardinewheel_cli.errors import ExitStatus, OperatorError, RefusedError
 from sardinewheel_cli.parser import parse
 from sardinewheel_cli.session import Session
-from sardinewheel_cli.syntax import CommandSyntaxError
+from sardinewheel_cli.syntax import CommandSyntaxError, explain_finding
 from sardinewheel_cli.tables import Output, render
 
 
@@ -24,7 +24,7 @@
         command = _parse(text, options)
     except CommandError as error:
         return _fail(error, options)
-    return _print_answer(session, command)
+    return _print_answer(session, command, text)
 
 
 def run_script(
@@ -34,9 +34,10 @@
 
     It ends at the first command that fails.
     """
+    parts = script.split(text)
     commands = []
     findings: list[Finding] = []
-    for part in script.split(text):
+    for part in parts:
         try:
             commands.append(_parse(part.text, options))
         except CommandError as error:
@@ -45,8 +46,8 @@
         return _fail(CommandError(tuple(findings)), options)
     if as_one:
         return _run_as_one(session, commands, options)
-    for command in commands:
-        status = _print_answer(session, command)
+    for command, part in zip(commands, parts, strict=True):
+        status = _print_answer(session, command, part.text)
         if status is not ExitStatus.OK:
             return status
     return ExitStatus.OK
@@ -75,9 +76,13 @@
     return command._replace(options=command.options.merged(options))
 
 
-def _print_answer(session: Session, command: Command) -> ExitStatus:
+def _print_answer(session: Session, command: Command, text: str) -> ExitStatus:
     try:
         output = session.run(command)
+    except RefusedError as error:
+        findings = error.reply.findings
+        parts = [explain_finding(text, f, session.names) for f in findings]
+        return _fail(error, command.options, "rejected:\n" + "\n".join(parts))
     except SardinewheelError as error:
         return _fail(error, command.options)
     _print(output, command.options)
@@ -91,7 +96,9 @@
         print(render(output))
 
 
-def _fail(error: SardinewheelError, options: Options) -> ExitStatus:
+def _fail(
+    error: SardinewheelError, options: Options, text: str = ""
+) -> ExitStatus:
     """Prints an error and returns its exit status."""
     is_usage = isinstance(error, CommandError)
     status = ExitStatus.USAGE if is_usage else ExitStatus.REFUSED
@@ -99,10 +106,9 @@
         status = error.status
     if options.json:
         print(json.dumps(_media(error)))
-    text = str(error)
     if isinstance(error, CommandSyntaxError):
         text = error.render()
-    print(text, file=sys.stderr)
+    print(text or error, file=sys.stderr)
     return status
 
 
--- a/packages/cli/sardinewheel_cli/session.py
+++ b/packages/cli/sardinewheel_cli/session.py
@@ -5,6 +5,7 @@
 from sardinewheel_core.change import Operation
 from sardinewheel_core.codec import from_plain
 from sardinewheel_core.errors import MessageError
+from sardinewheel_core.intent import Intent
 from sardinewheel_core.messages import Phase
 from sardinewheel_core.views import HeadroomView, View
 
@@ -31,12 +32,14 @@
         client: Client of the entry hosts.
         author: Name under which changes are made.
         last_version: Version of the latest change made here, or 0.
+        names: Names in force, as last seen.
     """
 
     def __init__(self, client: HostClient, *, author: str):
         self.client = client
         self.author = author
         self.last_version = 0
+        self.names: tuple[str, ...] = ()
 
     def run(self, command: Command) -> Output:
         """Runs one command and returns its answer.
@@ -65,6 +68,7 @@
         """Returns what is in force on the first host that answers."""
         view = from_plain(self.fetch("/v1/view"), View)
         self.client.add(tuple(h.http_address for h in view.hosts if h.alive))
+        self.names = names_of(view.intent)
         return view
 
     def views(self, view: View) -> tuple[list[View], tuple[str, ...]]:
@@ -109,3 +113,11 @@
             except MessageError:
                 silent.append(host.name)
         return answers, tuple(silent)
+
+
+def names_of(intent: Intent) -> tuple[str, ...]:
+    """Returns the names that an intent defines."""
+    names = {*intent.regions, *intent.seats, *intent.services, *intent.shifts}
+    names |= {d for r in intent.regions.values() for d in r.domains}
+    names |= {t for s in intent.services.values() for t in s.targets}
+    return tuple(sorted(names))
--- a/packages/cli/sardinewheel_cli/syntax.py
+++ b/packages/cli/sardinewheel_cli/syntax.py
@@ -43,11 +43,7 @@
 
     def render(self) -> str:
         """Returns the line with a caret under the place, and a suggestion."""
-        start = self._line_start()
-        end = self.text.find("\n", self.position)
-        line = self.text[start : end if end >= 0 else len(self.text)]
-        caret = " " * (self.position - start) + "^"
-        lines = [line, caret, str(self)]
+        lines = [point_at(self.text, self.position), str(self)]
         if self.suggestion:
             lines.append(f"did you mean {self.suggestion!r}?")
         return "\n".join(lines)
@@ -56,6 +52,39 @@
         return self.text.rfind("\n", 0, self.position) + 1
 
 
+def point_at(text: str, position: int) -> str:
+    """Returns the line of a position, and a caret under it.
+
+    Examples:
+        >>> print(point_at("show regoins", 5))
+        show regoins
+             ^
+    """
+    start = text.rfind("\n", 0, position) + 1
+    end = text.find("\n", position)
+    line = text[start : end if end >= 0 else len(text)]
+    return f"{line}\n{' ' * (position - start)}^"
+
+
+def explain_finding(text: str, finding: Finding, names: tuple[str, ...]) -> str:
+    """Returns a host's finding about a command, with the place in its text.
+
+    Args:
+        text: The command.
+        finding: What the host found.
+        names: Names in force, from which the nearest is suggested.
+    """
+    word = finding.value.strip("'\"")
+    lines = [str(finding)]
+    position = text.find(word) if word else -1
+    if position >= 0:
+        lines.insert(0, point_at(text, position))
+    suggestion = nearest(word, names)
+    if suggestion and suggestion != word:
+        lines.append(f"did you mean {suggestion!r}?")
+    return "\n".join(lines)
+
+
 def word_at(text: str, position: int) -> str:
     """Returns the word that starts at a position.
 
--- a/packages/cli/sardinewheel_cli/tables.py
+++ b/packages/cli/sardinewheel_cli/tables.py
@@ -52,7 +52,10 @@
         cells = [row[index] for row in grid.rows]
         is_number = all(isinstance(cell, int | float) for cell in cells)
         table.add_column(
-            column, justify="right" if is_number else "left", no_wrap=True
+            column,
+            justify="right" if is_number else "left",
+            no_wrap=is_number,
+            overflow="fold",
         )
     for row in grid.rows:
         table.add_row(*(_cell(cell) for cell in row))
--- a/packages/core/sardinewheel_core/operator_messages.py
+++ b/packages/core/sardinewheel_core/operator_messages.py
@@ -19,6 +19,7 @@
         dry_run: Whether only the effect is asked for.
         force: Names of the promises that may be strained.
         usage: What the operator's client saw in use over all hosts.
+        again: Whether it was sent before and the answer was lost.
     """
 
     operations: tuple[Operation, ...]
@@ -28,6 +29,7 @@
     dry_run: bool = False
     force: tuple[str, ...] = ()
     usage: Usage = Usage()
+    again: bool = False
 
 
 class ChangeState(StrEnum):
--- a/packages/entry/sardinewheel_entry/api/changes.py
+++ b/packages/entry/sardinewheel_entry/api/changes.py
@@ -7,7 +7,13 @@
 import gevent
 from sardinewheel_core import views
 from sardinewheel_core.change import Change
-from sardinewheel_core.effects import ChangeAsked, ChangeProposed, ProposalEnded
+from sardinewheel_core.effects import (
+    ChangeAsked,
+    ChangeProposed,
+    ProposalEnded,
+    ProposalState,
+)
+from sardinewheel_core.errors import Finding, RequestError
 from sardinewheel_core.operator_messages import (
     ChangeReply,
     ChangeRequest,
@@ -41,6 +47,10 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Proposes a change and says how that ended."""
         request = media.decode(media.read(req), ChangeRequest)
+        if request.base_version < 0:
+            value = str(request.base_version)
+            finding = Finding("base_version", value, "0 or more")
+            raise RequestError((finding,))
         if not request.change_id:
             request = request._replace(change_id=str(uuid.uuid4()))
         give_reply(resp, self._answer(request))
@@ -48,6 +58,10 @@
     def _answer(self, request: ChangeRequest) -> ChangeReply:
         if self.driver.host.configuration.by_id(request.change_id):
             return self._propose(request)
+        if request.again:
+            ended = self.driver.propose(ChangeAsked(0, request.change_id))
+            if ended.state is not ProposalState.ABSENT:
+                return reply_of(ended, request.change_id)
         self._wait_for_base(request.base_version)
         winner = self._winner(request)
         if winner is not None:
@@ -63,7 +77,11 @@
                 state = ChangeState.REJECTED
             return _reply(state, request, seen, seen.findings)
         if seen.unforced(request.force):
-            return _reply(ChangeState.STRAINED, request, seen)
+            # Another host may still be working on the same change.
+            state = ChangeState.STRAINED
+            if request.again:
+                state = ChangeState.UNKNOWN
+            return _reply(state, request, seen)
         return self._propose(request, seen)
 
     def _preview(self, request: ChangeRequest) -> Preview:
--- a/tests/cli/test_cli_processes.py
+++ b/tests/cli/test_cli_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import subprocess
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -151,6 +152,68 @@
     assert redone.returncode == 0, redone
 
 
+def test_two_operators_at_the_same_moment(house):
+    commands = ("set cap austro 8", "set cap austro 9")
+    with ThreadPoolExecutor() as pool:
+        hosts = [(name,) for name in DOMAINS]
+        ends = list(
+            pool.map(
+                lambda command, host: house.sardinewheel(
+                    "--base-version=1", command, hosts=host
+                ),
+                commands,
+                hosts,
+            )
+        )
+    assert sorted(end.returncode for end in ends) == [0, 1], ends
+    loser = max(ends, key=lambda end: end.returncode)
+    assert "version 2 by" in loser.stderr
+    assert len(house.json("show versions")["versions"]) == 2
+
+
+def test_lost_answer_of_the_platform_is_settled(house):
+    body = json.dumps({"mode": "lose-answers", "count": 1}).encode()
+    headers = {"Content-Type": "application/json"}
+    platform = house.addresses["platform"]
+    http("PUT", platform, "/control", body=body, headers=headers)
+    done = house.json("set cap austro 7")["change"]
+    assert (done["state"], done["version"]) == ("accepted", 2)
+    found = house.sardinewheel(f"show change {done['change_id']}")
+    assert "accepted as version 2" in found.stdout
+    assert "absent" in house.sardinewheel("show change c-0").stdout
+
+
+def test_traffic_latency_and_explain_of_a_request(house):
+    request_id = "r-1"
+    reply = wait_until(
+        lambda: answered(
+            http(
+                "POST",
+                house.addresses["quito-1"],
+                "/v1/services/pedidos/requests",
+                body=b"x",
+                headers={
+                    "Sardinewheel-Request-Id": request_id,
+                    "Sardinewheel-Kind": "status",
+                },
+            )
+        )
+    )
+    assert reply.headers["sardinewheel-outcome"] == "done"
+    explained = house.json(f"explain request {request_id}")["decisions"]
+    events = [decision["event"] for decision in explained]
+    assert events[-2:] == ["dispatched", "done"]
+    rows = house.json("show latency service pedidos")["latency"]
+    assert ("status", "done") in [(r["kind"], r["outcome"]) for r in rows]
+    flows = house.json("show traffic by service")["flows"]
+    done = [f for f in flows if f["outcome"] == "dispatched"]
+    assert [(f["service"], f["total"]) for f in done] == [("pedidos", 1)]
+
+
+def answered(reply):
+    return reply if reply.status == 200 else None
+
+
 def test_another_host_answers_while_one_is_down(house):
     house.processes["quito-1"].kill()
     done = house.sardinewheel("show regions", hosts=("quito-1", "cuenca-1"))
@@ -161,9 +224,10 @@
 
 def test_exit_statuses(house):
     assert house.sardinewheel("show regions").returncode == 0
-    unknown = house.sardinewheel("drain target t9")
+    unknown = house.sardinewheel("drain domain cuenca-cntro")
     assert unknown.returncode == 1
-    assert "operations[0]" in unknown.stderr
+    assert "\n             ^\noperations[0]" in unknown.stderr
+    assert "did you mean 'cuenca-centro'?" in unknown.stderr
     usage = house.sardinewheel("show regoins")
     assert usage.returncode == 2
     assert "did you mean 'regions'?" in usage.stderr
