--- a/packages/cli/sardinewheel_cli/explanations.py
+++ b/packages/cli/sardinewheel_cli/explanations.py
@@ -6,7 +6,7 @@
 from sardinewheel_core.change import Change
 from sardinewheel_core.codec import from_plain, to_plain
 from sardinewheel_core.touching import things_touched
-from sardinewheel_core.views import DecisionsView
+from sardinewheel_core.views import DecisionsView, DecisionView
 
 from sardinewheel_cli import rooms
 from sardinewheel_cli.commands import Explain
@@ -90,27 +90,20 @@
 
 
 def _rows(answers: list[DecisionsView]) -> list[Row]:
-    """Returns the decisions, oldest first; alike ones as one row."""
+    """Returns the decisions, oldest first; alike ones as one row.
+
+    Alike are those that differ only in request and figures; the row shows
+    the latest of them.
+    """
     counts: Counter[tuple] = Counter()
     latest: dict[tuple, Row] = {}
     for answer in answers:
         for decision in answer.decisions:
-            fields = decision.fields
-            key = (
-                answer.host,
-                decision.event,
-                decision.version,
-                tuple(f for f in fields if f[0] != REQUEST_FIELD),
-            )
+            row = _row(answer.host, decision)
+            key = (row.host, row.event, row.version, *_words(decision))
             counts[key] += 1
-            if key not in latest or decision.age_s < latest[key].age_s:
-                latest[key] = Row(
-                    decision.age_s,
-                    answer.host,
-                    decision.version,
-                    decision.event,
-                    " ".join(f"{field}={value}" for field, value in fields),
-                )
+            if key not in latest or row.age_s < latest[key].age_s:
+                latest[key] = row
     rows = [
         row._replace(event=_times(row.event, counts[key]))
         for key, row in latest.items()
@@ -118,5 +111,18 @@
     return sorted(rows, reverse=True)
 
 
+def _row(host: str, decision: DecisionView) -> Row:
+    figures = " ".join(f"{name}={value}" for name, value in decision.fields)
+    return Row(decision.age_s, host, decision.version, decision.event, figures)
+
+
+def _words(decision: DecisionView) -> list[tuple]:
+    return [
+        (name, value)
+        for name, value in decision.fields
+        if isinstance(value, str) and name != REQUEST_FIELD
+    ]
+
+
 def _times(event: str, count: int) -> str:
     return event if count == 1 else f"{event} ({count} alike)"
--- a/packages/cli/sardinewheel_cli/help.py
+++ b/packages/cli/sardinewheel_cli/help.py
@@ -30,7 +30,7 @@
         "part of a service",
     ),
     ("define block PREFIX in REGION", "assign callers to a region"),
-    ("remove service NAME", ""),
+    ("remove service NAME", "with its shifts"),
     ("remove seat NAME", ""),
     ("set cap REGION N", "weight units in flight at a time"),
     (
@@ -42,6 +42,7 @@
     ("end shift NAME", "forget it at once"),
     ("drain target|host|domain|region NAME [within 30s]", "empty it"),
     ("undrain target|host|domain|region NAME", "let it take work again"),
+    ("help", "this list"),
 )
 OPTIONS = (
     ("--dry-run", "show the effect, change nothing"),
--- a/packages/cli/sardinewheel_cli/prompt.py
+++ b/packages/cli/sardinewheel_cli/prompt.py
@@ -91,7 +91,6 @@
 def run(session: Session, options: Options) -> ExitStatus:
     """Prompts for commands until the operator leaves."""
     prompt_session = PromptSession(history=_history())
-    status = ExitStatus.OK
     while True:
         completer = CommandCompleter(_intent(session))
         try:
@@ -99,11 +98,11 @@
         except KeyboardInterrupt:
             continue
         except EOFError:
-            return status
+            return ExitStatus.OK
         if text.strip() in LEAVING_WORDS:
-            return status
+            return ExitStatus.OK
         if text.strip():
-            status = runner.run_command(session, text, options)
+            runner.run_command(session, text, options)
 
 
 def _intent(session: Session) -> Intent:
--- a/packages/cli/sardinewheel_cli/tables.py
+++ b/packages/cli/sardinewheel_cli/tables.py
@@ -40,8 +40,9 @@
 def render(output: Output) -> str:
     """Returns an answer as text for people."""
     parts = [_grid(grid) for grid in output.grids]
-    parts += list(output.notes)
-    return "\n".join(parts)
+    if output.notes:
+        parts.append("\n".join(output.notes))
+    return "\n\n".join(parts)
 
 
 def _grid(grid: Grid) -> str:
@@ -63,6 +64,7 @@
     with console.capture() as capture:
         console.print(table)
     lines = capture.get().rstrip().splitlines()
+    lines = [lines[0], *lines[2:]]
     return "\n".join(line.rstrip() for line in lines)
 
 
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import claims, occupancy
+from sardinewheel_core import claims, occupancy, request_decisions
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -373,6 +373,7 @@
             kind=exchange.request.kind,
             outcome=str(answer.outcome),
             reason=str(reason),
+            **request_decisions.room(host, now, exchange.request.service),
         )
     host.emit(Reply(exchange.arrival_id, answer))
     for arrival in exchange.joined:
--- a/packages/core/sardinewheel_core/request_decisions.py
+++ b/packages/core/sardinewheel_core/request_decisions.py
@@ -67,3 +67,18 @@
         ("hops", request.hops),
         ("reason", str(effect.reason)),
     )
+
+
+def room(
+    host: "EntryHost", now: float, service: str
+) -> dict[str, str | int | float]:
+    """Returns the room that a decision about a service rests on."""
+    line = host.lines.get(service, ())
+    return {
+        "region": host.region or "",
+        "region_in_flight": host.allowance.in_flight,
+        "region_limit": host.allowance.limit(now),
+        "slots": host.targets.slots(service),
+        "free": host.targets.free(service, now),
+        "waiting": len(line),
+    }
--- a/packages/core/sardinewheel_core/views.py
+++ b/packages/core/sardinewheel_core/views.py
@@ -221,8 +221,14 @@
 
 
 def decisions_about(host: "EntryHost", now: float, name: str) -> DecisionsView:
-    """Returns the latest decisions in which a name takes part."""
-    return _decisions(host, now, host.decisions.about(name))
+    """Returns the latest decisions in which a name takes part.
+
+    A host shows all that it decided about itself when its own name is asked.
+    """
+    found = host.decisions.about(name)
+    if name == host.identity.name:
+        found = list(host.decisions.decisions)
+    return _decisions(host, now, found)
 
 
 def repairs(host: "EntryHost", now: float) -> DecisionsView:
