--- a/packages/testing/sardinewheel_testing/caller.py
+++ b/packages/testing/sardinewheel_testing/caller.py
@@ -157,7 +157,9 @@
         for result in list(self.results.values()):
             counts[result.outcome] += 1
         path = Path(self.settings.output + ".progress")
-        path.write_text(json.dumps(counts), encoding="utf-8")
+        part = path.with_suffix(".part")
+        part.write_text(json.dumps(counts), encoding="utf-8")
+        part.replace(path)
 
 
 def main() -> None:
--- a/packages/testing/sardinewheel_testing/steering.py
+++ b/packages/testing/sardinewheel_testing/steering.py
@@ -132,7 +132,7 @@
         suffix = f"{self.prefix}-{len(self.attempts)}"
         return f"{ticket}~{suffix}" if ticket else suffix
 
-    def fields(self, request_id: str) -> dict[str, str]:
+    def fields(self, request_id: str, timeout_s: float) -> dict[str, str]:
         """Returns the headers of one request for this call."""
         rate = self.call.rate
         return {
@@ -140,7 +140,7 @@
             headers.KIND: rate.kind,
             headers.WEIGHT: str(rate.weight),
             headers.REPEATABLE: "true" if rate.repeatable else "false",
-            headers.DEADLINE_MS: str(max(1, int(self.left_s * 1000))),
+            headers.DEADLINE_MS: str(max(1, int(timeout_s * 1000))),
             "Content-Type": "application/octet-stream",
         }
 
