--- a/packages/cli/sardinewheel_cli/changes.py
+++ b/packages/cli/sardinewheel_cli/changes.py
@@ -4,7 +4,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from sardinewheel_core.change import Operation
+from sardinewheel_core.change import Operation, StartDrain
 from sardinewheel_core.codec import from_plain, to_plain
 from sardinewheel_core.operator_messages import (
     ChangeReply,
@@ -14,7 +14,7 @@
 )
 from sardinewheel_core.touching import is_independent
 
-from sardinewheel_cli import rollouts
+from sardinewheel_cli import drainage, rollouts
 from sardinewheel_cli.client import Reply
 from sardinewheel_cli.commands import Options
 from sardinewheel_cli.errors import (
@@ -61,10 +61,21 @@
     if reply.state is ChangeState.ACCEPTED:
         session.last_version = reply.version
         if options.wait:
-            return _output(reply, notes, rollouts.wait(session, reply.version))
+            return _output(reply, notes, *_wait(session, operations, reply))
     return _output(reply, notes)
 
 
+def _wait(
+    session: "Session", operations: tuple[Operation, ...], reply: ChangeReply
+) -> list[Output]:
+    """Waits until a change is in force and the places it drains are empty."""
+    waited = [rollouts.wait(session, reply.version)]
+    for operation in operations:
+        if isinstance(operation, StartDrain):
+            waited.append(drainage.wait(session, operation.drain))
+    return waited
+
+
 def _send_until_decided(
     session: "Session", request: ChangeRequest, options: Options
 ) -> tuple[ChangeReply, list[str]]:
@@ -147,17 +158,15 @@
     return from_plain(reply.media, ChangeReply)
 
 
-def _output(
-    reply: ChangeReply, notes: list[str], waited: Output | None = None
-) -> Output:
+def _output(reply: ChangeReply, notes: list[str], *waited: Output) -> Output:
     grids = [_differences(reply)]
     lines = [*notes, *(f"strains {strain}" for strain in reply.strains)]
     lines.append(_headline(reply))
     media = {"change": to_plain(reply), "notes": notes}
-    if waited is not None:
-        grids += waited.grids
-        lines += waited.notes
-        media["rollout"] = waited.media
+    for output in waited:
+        grids += output.grids
+        lines += output.notes
+        media |= output.media
     return Output(media, tuple(grids), tuple(lines))
 
 
--- a/packages/cli/sardinewheel_cli/errors.py
+++ b/packages/cli/sardinewheel_cli/errors.py
@@ -45,6 +45,10 @@
     """An entry host refused to answer a query."""
 
 
+class NotReachedError(OperatorError):
+    """A change was accepted, and its effect was not reached in time."""
+
+
 class ChangeError(OperatorError):
     """A change did not come into force.
 
--- a/packages/cli/sardinewheel_cli/help.py
+++ b/packages/cli/sardinewheel_cli/help.py
@@ -47,7 +47,7 @@
 OPTIONS = (
     ("--dry-run", "show the effect, change nothing"),
     ("--force PROMISE", "accept that a named promise is strained"),
-    ("--wait", "wait until it is in force on every live host"),
+    ("--wait", "wait until in force on live hosts, and drained places empty"),
     ("--redo", "after a conflict, make it on top of the winning change"),
     ("--base-version N", "refuse unless version N is the latest"),
     ("--json", "print JSON"),
--- a/packages/cli/sardinewheel_cli/queries.py
+++ b/packages/cli/sardinewheel_cli/queries.py
@@ -9,7 +9,14 @@
 from sardinewheel_core.operator_messages import ChangeReply
 from sardinewheel_core.views import View
 
-from sardinewheel_cli import explanations, flows, latencies, rollouts, rooms
+from sardinewheel_cli import (
+    drainage,
+    explanations,
+    flows,
+    latencies,
+    rollouts,
+    rooms,
+)
 from sardinewheel_cli.commands import Show
 from sardinewheel_cli.errors import AnswerRefusedError
 from sardinewheel_cli.formatter import format_intent, format_operation
@@ -26,6 +33,8 @@
             return rollouts.rollout(session)
         case "versions":
             return _versions(session)
+        case "drains":
+            return drainage.drains(session)
         case "headroom":
             return rooms.headroom(session)
         case "traffic":
@@ -150,13 +159,6 @@
     return Grid("shifts", columns, tuple(rows))
 
 
-def _drains(intent: Intent) -> Grid:
-    rows = tuple(
-        (str(d.subject), d.name, d.within_s) for d in intent.drains.values()
-    )
-    return Grid("drains", ("sort", "name", "within s"), rows)
-
-
 def _blocks(intent: Intent) -> Grid:
     rows = tuple(tuple(block) for block in intent.blocks.values())
     return Grid("blocks", ("block", "region"), rows)
@@ -169,7 +171,6 @@
     "domains": _domains,
     "seats": _seats,
     "shifts": _shifts,
-    "drains": _drains,
     "blocks": _blocks,
 }
 
--- a/packages/cli/sardinewheel_cli/rollouts.py
+++ b/packages/cli/sardinewheel_cli/rollouts.py
@@ -6,6 +6,7 @@
 from sardinewheel_core.codec import to_plain
 from sardinewheel_core.views import View
 
+from sardinewheel_cli.errors import NotReachedError
 from sardinewheel_cli.tables import Grid, Output
 
 if TYPE_CHECKING:
@@ -26,22 +27,26 @@
 def wait(session: "Session", version: int) -> Output:
     """Waits until a version is in force on every live host.
 
-    The wait ends when every host that is seen alive has it, or after
-    ``WAIT_TIMEOUT_S``; the answer then says which hosts lack it.
+    Raises:
+        NotReachedError: Some host that is seen alive lacks it after
+            ``WAIT_TIMEOUT_S``.
     """
     deadline = time.monotonic() + WAIT_TIMEOUT_S
     while True:
         view = session.view()
         views, silent = session.views(view)
         behind = [v.host for v in views if v.version < version]
-        if not (behind or silent) or time.monotonic() > deadline:
+        alive = {host.name for host in view.hosts if host.alive}
+        behind += sorted(alive.intersection(silent))
+        if not behind or time.monotonic() > deadline:
             break
         time.sleep(WAIT_INTERVAL_S)
-    output = _output(view, views, silent)
-    count = len(views) - len(behind)
+    count = sum(v.version >= version for v in views)
     notes = [f"version {version} is in force on {count} hosts"]
     if behind:
-        notes.append(f"not yet in force on: {', '.join(behind)}")
+        lacking = ", ".join(behind)
+        raise NotReachedError(f"{notes[0]}, not yet on: {lacking}")
+    output = _output(view, views, silent)
     return output._replace(notes=(*notes, *output.notes))
 
 
--- a/packages/cli/sardinewheel_cli/runner.py
+++ b/packages/cli/sardinewheel_cli/runner.py
@@ -64,7 +64,7 @@
         options = options.merged(command.options)
     operations = tuple(statement.operation for statement in statements)
     try:
-        output = session.change(operations, Command(statements[0], options))
+        output = session.change(operations, options)
     except SardinewheelError as error:
         return _fail(error, options)
     _print(output, options)
--- a/packages/cli/sardinewheel_cli/session.py
+++ b/packages/cli/sardinewheel_cli/session.py
@@ -16,6 +16,7 @@
     Command,
     Explain,
     Help,
+    Options,
     Show,
 )
 from sardinewheel_cli.errors import AnswerRefusedError
@@ -49,7 +50,7 @@
         """
         match command.statement:
             case ChangeIntent(operation):
-                return self.change((operation,), command)
+                return self.change((operation,), command.options)
             case Show() as show:
                 return queries.show(self, show)
             case Explain() as explain:
@@ -59,10 +60,10 @@
         raise TypeError(f"unknown statement {command.statement!r}")
 
     def change(
-        self, operations: tuple[Operation, ...], command: Command
+        self, operations: tuple[Operation, ...], options: Options
     ) -> Output:
         """Makes one change of one or more operations."""
-        return changes.run(self, operations, command.options)
+        return changes.run(self, operations, options)
 
     def view(self) -> View:
         """Returns what is in force on the first host that answers."""
--- a/packages/core/sardinewheel_core/views.py
+++ b/packages/core/sardinewheel_core/views.py
@@ -2,7 +2,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sardinewheel_core import drains
 from sardinewheel_core.decisions import Decision
+from sardinewheel_core.drains import DrainProgress
 from sardinewheel_core.intent import Intent
 from sardinewheel_core.messages import HostState
 from sardinewheel_core.preview import RegionUse, ServiceUse, Usage
@@ -186,6 +188,14 @@
     )
 
 
+class DrainsView(NamedTuple):
+    """Drains in which one host has a part."""
+
+    host: str
+    version: int
+    drains: tuple[DrainProgress, ...]
+
+
 def headroom(host: "EntryHost", now: float) -> HeadroomView:
     """Returns the room that a host sees."""
     intent = host.configuration.intent
@@ -207,6 +217,13 @@
     )
 
 
+def drains_view(host: "EntryHost", now: float) -> DrainsView:
+    """Returns how far drains have come on a host."""
+    progress = drains.progress(host, now)
+    version = host.configuration.version
+    return DrainsView(host.identity.name, version, tuple(progress))
+
+
 def usage(host: "EntryHost") -> Usage:
     """Returns what is in use as far as this host alone knows."""
     region = host.region
--- a/packages/entry/sardinewheel_entry/api/operators.py
+++ b/packages/entry/sardinewheel_entry/api/operators.py
@@ -26,6 +26,7 @@
     app.add_route("/v1/view", ViewResource(driver))
     app.add_route("/v1/hosts", HostsResource(driver))
     app.add_route("/v1/headroom", HeadroomResource(driver))
+    app.add_route("/v1/drains", DrainsResource(driver))
     app.add_route("/v1/traffic", TrafficResource(driver))
     app.add_route("/v1/explain", ExplainResource(driver))
     app.add_route("/v1/repairs", RepairsResource(driver))
@@ -83,6 +84,18 @@
         media.give(resp, views.headroom(self.driver.host, time.monotonic()))
 
 
+class DrainsResource:
+    """``GET /v1/drains``: how far drains have come on this host."""
+
+    def __init__(self, driver: Driver):
+        self.driver = driver
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the drains in which this host has a part."""
+        host = self.driver.host
+        media.give(resp, views.drains_view(host, time.monotonic()))
+
+
 class TrafficResource:
     """``GET /v1/traffic``: where traffic flows through this host."""
 
