--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -254,7 +254,10 @@
 
     def line(self, service: str) -> WaitingLine:
         """Returns the waiting line of a service."""
-        return self.lines.setdefault(service, WaitingLine())
+        line = self.lines.get(service)
+        if line is None:
+            line = self.lines[service] = WaitingLine()
+        return line
 
     def waiting(self) -> Iterator[Exchange]:
         """Yields every waiting exchange, most urgent first per service."""
