--- a/packages/testing/sardinewheel_testing/caller.py
+++ b/packages/testing/sardinewheel_testing/caller.py
@@ -89,7 +89,7 @@
         far = [a for a, r in settings.entry_hosts if r != settings.region]
         return SardinewheelSteering(
             network=network,
-            seeds=near + far[:1],
+            seeds=near + far[::2],
             block=settings.block,
             clients=settings.clients,
             rng=rng,
--- a/packages/testing/sardinewheel_testing/calls.py
+++ b/packages/testing/sardinewheel_testing/calls.py
@@ -78,11 +78,21 @@
 
 
 class AttemptMade(NamedTuple):
-    """One request id that a caller used, and what it was told of it."""
+    """One request id that a caller used, and what it was told of it.
+
+    Attributes:
+        request_id: The id.
+        outcome: What the caller was told.
+        reason: Why, if it was told.
+        ended_s: Seconds from the scheduled time of the call to the answer.
+        retry_after_s: When it was asked to come back, in seconds.
+    """
 
     request_id: str
     outcome: AttemptOutcome
     reason: str = ""
+    ended_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 class CallResult(NamedTuple):
@@ -155,8 +165,8 @@
         CallOutcome(outcome),
         latency_s,
         tuple(
-            AttemptMade(name, AttemptOutcome(told), reason)
-            for name, told, reason in attempts
+            AttemptMade(name, AttemptOutcome(told), *rest)
+            for name, told, *rest in attempts
         ),
         is_own,
     )
--- a/packages/testing/sardinewheel_testing/experiments.py
+++ b/packages/testing/sardinewheel_testing/experiments.py
@@ -56,13 +56,14 @@
     """Drains one target of each region; it announces that it leaves."""
     scene.wait_until(4.0)
     drained = [scene.targets_of(region=r)[0] for r in scene.house.regions]
-    ordered_at = time.monotonic()
-    if scene.is_product:
-        for target in drained:
+    ordered_at = {}
+    for target in drained:
+        ordered_at[target.name] = time.monotonic()
+        if scene.is_product:
             scene.running.operate("drain", "target", target.name)
-    scene.running.set_targets(drained, draining=True)
+        scene.running.set_targets([target], draining=True)
     for target in drained:
-        scene.watch_drain(target, ordered_at)
+        scene.watch_drain(target, ordered_at[target.name])
     for noted in scene.noted:
         if noted.name == "drain_new_work_s":
             text = f"new work for {noted.value} s after a drain was ordered"
--- a/packages/testing/sardinewheel_testing/sardinewheel_steering.py
+++ b/packages/testing/sardinewheel_testing/sardinewheel_steering.py
@@ -25,7 +25,7 @@
 SUSPECT_S = 3.0
 PENDING = "pending"
 PENDING_RETRY_S = 0.2
-SETTLE_TRIES = 4
+SETTLE_S = 6.0
 SETTLE_TIMEOUT_S = 1.5
 
 
@@ -45,7 +45,8 @@
         block: Address of the callers.
         clients: Number of callers that cache look-ups on their own.
         entries: Latest entry seen of each host, by name.
-        suspects: Hosts that did not answer, and until when others go first.
+        suspects: Hosts and addresses that did not answer, and until when
+            others go first.
     """
 
     def __init__(
@@ -73,7 +74,6 @@
             entry = self._choose(trail, preferred)
             if entry is None:
                 gevent.sleep(LOOKUP_RETRY_S)
-                trail.avoided.clear()
                 continue
             told = self._ask_and_settle(trail, entry)
             if told.outcome is AttemptOutcome.DONE:
@@ -94,12 +94,17 @@
             timeout_s *= LONGEST_TRY_SHARE
         told = self._ask(trail, entry, request_id, timeout_s)
         self._avoid_if_silent(trail, entry, told)
-        tries = 0 if repeatable else SETTLE_TRIES
-        while told.outcome is AttemptOutcome.LOST and tries:
-            tries -= 1
+        if not repeatable:
+            told = self._settle(trail, request_id, told)
+        trail.add(request_id, told)
+        return told
+
+    def _settle(self, trail: Trail, request_id: str, told: Told) -> Told:
+        """Asks other hosts of an id until one says what became of it."""
+        until = time.monotonic() + SETTLE_S
+        while told.outcome is AttemptOutcome.LOST and time.monotonic() < until:
             other = self._choose(trail, ())
             if other is None:
-                trail.avoided.clear()
                 gevent.sleep(LOOKUP_RETRY_S)
                 continue
             told = self._ask(trail, other, request_id, SETTLE_TIMEOUT_S)
@@ -108,7 +113,6 @@
                 told = Told(AttemptOutcome.LOST)
             elif told.reason == PENDING:
                 gevent.sleep(PENDING_RETRY_S)
-        trail.add(request_id, told)
         return told
 
     def _avoid_if_silent(
@@ -157,17 +161,29 @@
         for name in preferred:
             if name in self.entries and name not in trail.avoided:
                 return self.entries[name]
-        entries = self._look_up(trail)
+        entry = self._best(trail, self._look_up(trail))
+        if entry is None and trail.avoided:
+            # Every host of the cached answer failed: look up again.
+            trail.avoided.clear()
+            entry = self._best(trail, self._look_up(trail, is_fresh=True))
+        return entry
+
+    def _best(
+        self, trail: Trail, entries: tuple[LookupEntry, ...]
+    ) -> LookupEntry | None:
         usable = [e for e in entries if e.host not in trail.avoided]
         now = time.monotonic()
         sound = [e for e in usable if self.suspects.get(e.host, 0.0) < now]
         return next(iter(sound or usable), None)
 
-    def _look_up(self, trail: Trail) -> tuple[LookupEntry, ...]:
+    def _look_up(
+        self, trail: Trail, *, is_fresh: bool = False
+    ) -> tuple[LookupEntry, ...]:
         service = trail.call.rate.service
         key = (trail.call.index % self.clients, service)
         cached = self.cache.get(key)
-        if cached is not None and cached.until > time.monotonic():
+        is_valid = cached is not None and cached.until > time.monotonic()
+        if is_valid and not is_fresh:
             return cached.entries
         answer = self._ask_for_hosts(service)
         if answer is not None:
@@ -178,15 +194,19 @@
         return cached.entries if cached is not None else ()
 
     def _ask_for_hosts(self, service: str) -> CachedLookup | None:
+        now = time.monotonic()
+        sound = [s for s in self.seeds if self.suspects.get(s, 0.0) < now]
+        seed = self.rng.choice(sound or self.seeds)
         try:
             response = self.network.send(
                 "GET",
-                self.rng.choice(self.seeds),
+                seed,
                 f"/v1/lookup?service={service}&block={self.block}",
                 fields={},
                 timeout_s=LOOKUP_TIMEOUT_S,
             )
         except (NotSentError, ConnectionLostError):
+            self.suspects[seed] = now + SUSPECT_S
             return None
         if response.status != OK:
             return None
--- a/packages/testing/sardinewheel_testing/steering.py
+++ b/packages/testing/sardinewheel_testing/steering.py
@@ -146,7 +146,13 @@
 
     def add(self, request_id: str, told: Told) -> None:
         """Records what was told of an id."""
-        attempt = AttemptMade(request_id, told.outcome, told.reason)
+        attempt = AttemptMade(
+            request_id,
+            told.outcome,
+            told.reason,
+            round(time.monotonic() - self.due_at, 4),
+            told.retry_after_s,
+        )
         self.attempts.append(attempt)
 
     def end(self, outcome: CallOutcome, told: Told | None = None) -> CallResult:
