--- a/features/steps/audience.py
+++ b/features/steps/audience.py
@@ -116,7 +116,8 @@
             reply = context.house.request(cached.host())
             counts[outcome(reply)] += 1
         except OSError as error:
-            is_refused = isinstance(error.reason, ConnectionRefusedError)
+            cause = getattr(error, "reason", error)
+            is_refused = isinstance(cause, ConnectionRefusedError)
             counts["refused-connection" if is_refused else "cut"] += 1
             cached.forget()
     return counts
