Keep overflow in its sender's line; book returns only for callers

A request that two peers had no room for now waits on its own host instead of ending as not run with the peer's time to come back. Refused overflow books no return, and a request that targets shed is told when to come back.

--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -95,6 +95,11 @@
         """Whether this host decides whether its id runs."""
         return self.book is not None
 
+    @property
+    def is_overflow(self) -> bool:
+        """Whether another host sent it on and decides what to do next."""
+        return self.request.hops > 0 and not self.is_owned
+
     @property
     def priority(self) -> int:
         """Priority of its kind; 0 is served first."""
--- a/packages/core/sardinewheel_core/filters/admission.py
+++ b/packages/core/sardinewheel_core/filters/admission.py
@@ -117,19 +117,12 @@
     return min(MAX_WAIT_S, WAIT_SHARE * left_s)
 
 
-def _is_overflow(exchange: Exchange) -> bool:
-    """Says whether another host keeps a place for it in its own line.
-
-    It waits there, not here, so that it waits in one line only and its sender
-    learns at once that the room it heard of is gone.
-    """
-    return exchange.request.hops > 0 and not exchange.is_owned
-
-
 def _wait_or_refuse(
     host: "EntryHost", now: float, exchange: Exchange, slots: int
 ) -> Verdict:
-    if _is_overflow(exchange):
+    if exchange.is_overflow:
+        # It waits in its sender's line, so that it waits in one line only and
+        # its sender learns at once that the room it heard of is gone.
         return refuse(host, now, exchange, Reason.NO_ROOM)
     line = host.line(exchange.request.service)
     if exchange.waiting_since is not None:
--- a/packages/core/sardinewheel_core/filters/placement.py
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -11,12 +11,16 @@
     from sardinewheel_core.host import EntryHost
 
 MAX_HOPS = 2
+MAX_OVERFLOW_ATTEMPTS = 2
 
 
 def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
     """Hands a request on when another host has room and this one has not."""
     if exchange.request.hops >= MAX_HOPS or _has_room(host, now, exchange):
         return Continue()
+    if exchange.attempts >= MAX_OVERFLOW_ATTEMPTS:
+        # Peers had less room than they said; it waits here instead.
+        return Continue()
     peer = _best_peer(host, now, exchange)
     if peer is None:
         return Continue()
--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -19,7 +19,10 @@
     service = exchange.request.service
     line = host.line(service)
     interval_s = line.executions.mean_s / max(1, host.targets.slots(service))
-    after = line.returns.book(now, interval_s, host.rng)
+    after = 0.0
+    if not exchange.is_overflow:
+        # Overflow does not come back here: its sender keeps it or refuses it.
+        after = line.returns.book(now, interval_s, host.rng)
     elsewhere = sorted(
         (s for s in host.membership.ready(now) if s.name != host.identity.name),
         key=lambda s: -dict(s.rooms).get(service, 0),
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -128,7 +128,7 @@
     elif exchange.was_lost:
         end_unknown(host, now, exchange, result.reason)
     else:
-        finish(host, now, exchange, _not_run(host, exchange, result))
+        finish(host, now, exchange, _not_run(host, now, exchange, result))
     serve_waiting(host, now)
 
 
@@ -341,7 +341,7 @@
 
 
 def _not_run(
-    host: "EntryHost", exchange: Exchange, result: AttemptResult
+    host: "EntryHost", now: float, exchange: Exchange, result: AttemptResult
 ) -> Answer:
     """Answers an attempt that nobody ran and that is not tried again."""
     is_owner_elsewhere = (
@@ -355,6 +355,8 @@
             Outcome.UNKNOWN,
             reason=Reason.OWNER_UNREACHABLE,
         )
+    if result.retry_after_s == 0.0:
+        return refuse(host, now, exchange, result.reason).answer
     refusal = Refusal(result.reason, result.retry_after_s)
     return Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
 
--- a/packages/testing/sardinewheel_testing/bench_report.py
+++ b/packages/testing/sardinewheel_testing/bench_report.py
@@ -37,6 +37,9 @@
         kinds: Figures by service and kind.
         weighty: Latency of weighty kinds.
         goodput: Weight units of calls done, per second of load.
+        weighty_goodput: The same of weighty kinds only.
+        work_done: Weight times service time of calls done, per second of
+            load: the weight that was usefully in flight on average.
         headroom: Least headroom by region, in weight units.
         verdict: Promises that did not hold.
         refusals: Refused attempts by reason.
@@ -52,6 +55,8 @@
     kinds: list[KindFigures]
     weighty: Percentiles
     goodput: float
+    weighty_goodput: float
+    work_done: float
     headroom: dict[str, int]
     verdict: Verdict
     refusals: Counter[str]
@@ -88,11 +93,14 @@
     """Returns the figures of a run."""
     caps = {r.name: r.cap for r in scene.house.intent.regions.values()}
     done = [r for r in results if r.outcome is CallOutcome.DONE]
+    times = scene.house.stand_ins["service_time_s"]
     return RunFigures(
         steering=scene.steering,
         kinds=by_kind(results),
         weighty=latency_of_done(weighty(results)),
-        goodput=sum(r.call.rate.weight for r in done) / plan.seconds,
+        goodput=_weight(done) / plan.seconds,
+        weighty_goodput=_weight(weighty(done)) / plan.seconds,
+        work_done=_work_s(done, times) / plan.seconds,
         headroom={r: cap - counted.most[r] for r, cap in caps.items()},
         verdict=judge(
             results,
@@ -105,7 +113,7 @@
         unknowns=unknowns_by_reason(results),
         floor_ms={
             kind: (seconds + 2 * CLIENT_DELAY_S) * 1000
-            for kinds in scene.house.stand_ins["service_time_s"].values()
+            for kinds in times.values()
             for kind, seconds in kinds.items()
         },
         noted=scene.noted,
@@ -115,6 +123,15 @@
     )
 
 
+def _weight(done: list[CallResult]) -> int:
+    return sum(result.call.rate.weight for result in done)
+
+
+def _work_s(done: list[CallResult], times: dict) -> float:
+    rates = [result.call.rate for result in done]
+    return sum(r.weight * times[r.service][r.kind] for r in rates)
+
+
 def _headroom_series(
     scene: Scene, caps: dict[str, int], counted: Counted
 ) -> list[Series]:
@@ -160,6 +177,8 @@
             "p99",
             "p99.9 weighty ms",
             "goodput weight/s",
+            "weighty",
+            "work done",
             "refused",
             "unknown",
             "least headroom",
@@ -175,6 +194,8 @@
                 run.steering,
                 *(f"{value:.0f}" for value in run.weighty),
                 f"{run.goodput:.0f}",
+                f"{run.weighty_goodput:.0f}",
+                f"{run.work_done:.0f}",
                 run.outcomes(CallOutcome.REFUSED),
                 run.outcomes(CallOutcome.UNKNOWN),
                 "/".join(str(h) for h in run.headroom.values()),
--- a/tests/core/filters/test_admission.py
+++ b/tests/core/filters/test_admission.py
@@ -1,7 +1,8 @@
 """Admission in a surge: reserved room, order, refusal at once."""
 
 from sardinewheel_core.attempt import Ending
-from sardinewheel_core.effects import Reply, Ticked
+from sardinewheel_core.effects import Forward, Reply, Ticked
+from sardinewheel_core.messages import HostState, Phase
 from sardinewheel_core.queueing import FAIR_TURN, MAX_WAIT_S, MAX_WAITING
 from sardinewheel_core.request import Outcome, Reason
 
@@ -134,3 +135,55 @@
     bench.now += 1.0
     effects = bench.host.handle(bench.now, Ticked())
     assert [r.reason for r in refusals(effects)] == [Reason.NO_ROOM]
+
+
+def peer(name, *, rooms):
+    fields = ("quito-bodega", "127.0.0.1:3", "127.0.0.1:4", Phase.READY, 1, 0)
+    return HostState(name, 1, 1, *fields, (("pedidos", rooms),))
+
+
+def test_overflow_of_another_host_books_no_return(bench):
+    for _ in range(6):
+        bench.request("confirm")
+    for number in range(100):
+        attempt = f"quito-2~1~{number}"
+        bench.request("confirm", hops=1, delegated=True, attempt=attempt)
+    effects = bench.request("confirm", deadline=bench.now + 0.05)
+    (refusal,) = refusals(effects)
+    assert refusal.retry_after_s < 0.5
+
+
+def test_request_that_peers_have_no_room_for_waits_here(bench):
+    peers = tuple(peer(f"peer-{i}", rooms=9) for i in range(8))
+    bench.host.membership.absorb(bench.now, peers)
+    for target in bench.host.targets.states.values():
+        target.in_flight = target.target.slots
+    effects = bench.request("confirm")
+    forwards = 0
+    while forward := next((e for e in effects if isinstance(e, Forward)), None):
+        forwards += 1
+        effects = bench.end(
+            forward.attempt_id, Ending.REFUSED, reason=Reason.NO_ROOM
+        )
+    assert forwards
+    assert not refusals(effects)
+    assert len(bench.host.line("pedidos")) == 1
+
+
+def test_request_that_targets_shed_learns_when_to_come_back(bench, dispatched):
+    running = dispatched(bench.request("status"))
+    for _ in range(100):
+        if running:
+            effects = bench.end(
+                running.pop().attempt_id,
+                Ending.REFUSED,
+                reason=Reason.TARGET_SHED,
+            )
+        else:
+            bench.now += 0.1
+            effects = bench.host.handle(bench.now, Ticked())
+        running += dispatched(effects)
+        if refusals(effects):
+            break
+    (refusal,) = refusals(effects)
+    assert refusal.retry_after_s > 0
