--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -142,7 +142,8 @@
     elif exchange.was_lost:
         end_unknown(host, now, exchange, result.reason)
     else:
-        finish(host, now, exchange, retries.not_run(host, exchange, result))
+        answer = retries.not_run(host, now, exchange, result)
+        finish(host, now, exchange, answer)
     serve_waiting(host, now)
 
 
