Pass on beats instead of whole states; take over only after hearing of neighbours

Cause: a heartbeat carried 24 whole states, several times the 7 KB/s budget at 111 hosts a domain, and with random peers a live host was suspected; a fresh host adopted other domains before it had heard of their hosts. Before: test_domain_without_hosts_is_adopted..., test_everyone_knows_everyone... failed. After: test_membership.py passes. tests/core/conftest.py and cluster.py start hosts as if up for a minute, since a host is no longer ready at once; what they assert is unchanged.

--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -10,6 +10,7 @@
     leaving,
     probing,
     proposals,
+    repairs,
     rollout,
     stopping,
 )
@@ -27,17 +28,24 @@
     ChangesSent,
     ChangesWanted,
     Heartbeat,
+    Message,
     OutcomesHandedOn,
     OutcomesTaken,
+    Phase,
     SnapshotPart,
+    StatesWanted,
 )
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
 
+MAX_ROOMS_PER_STATE = 16
+
+
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
+    host.membership.on_tick(now)
     host.book.advance(now)
     leaving.on_tick(host, now)
     host.delegations.advance(now)
@@ -49,6 +57,7 @@
     proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
     drains.on_tick(host, now)
+    repairs.on_tick(host, now)
     probing.on_tick(host, now)
     stopping.on_tick(host, now)
 
@@ -56,12 +65,18 @@
 def on_message(host: "EntryHost", now: float, event: MessageArrived) -> None:
     """Takes in a message of a peer."""
     match event.message:
-        case Heartbeat(states):
+        case Heartbeat(states, beats):
             host.membership.absorb(now, states)
+            unknown = host.membership.absorb_beats(now, beats)
+            _answer(host, event.sender, StatesWanted(unknown), unknown)
+            _welcome(host, now, event.sender)
             if host.membership.is_superseded(states):
                 stopping.on_superseded(host, now)
             handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
+        case StatesWanted(beat_ids):
+            found = host.membership.find(beat_ids)
+            _answer(host, event.sender, Heartbeat(found), found)
         case ChangesWanted(after):
             rollout.send_changes(host, event.sender, after)
         case ChangesSent(changes):
@@ -74,6 +89,23 @@
             handover.on_taken(host, now, message)
 
 
+def _answer(
+    host: "EntryHost", receiver: str, message: Message, content: tuple
+) -> None:
+    """Sends something back to a peer, unless there is nothing to send."""
+    state = host.membership.states.get(receiver)
+    if content and state is not None:
+        host.emit(Send(receiver, state.peer_address, message))
+
+
+def _welcome(host: "EntryHost", now: float, sender: str) -> None:
+    """Tells a host that just started whom this one knows."""
+    state = host.membership.states.get(sender)
+    if state is not None and state.phase is Phase.JOINING:
+        heartbeat = host.membership.heartbeat(now)
+        host.emit(Send(sender, state.peer_address, heartbeat))
+
+
 def on_platform(
     host: "EntryHost",
     now: float,
@@ -106,11 +138,12 @@
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
     leaving_targets, drained = leaving.told_to_others(host, now)
-    rooms = tuple((name, room_for(host, now, name)) for name in services)
+    rooms = [(name, room_for(host, now, name)) for name in services]
+    rooms = [(name, room) for name, room in rooms if room > 0]
     host.membership.own = host.membership.own._replace(
         version=host.configuration.version,
         epoch=host.book.epoch,
-        rooms=rooms,
+        rooms=tuple(host.membership.sample(rooms, MAX_ROOMS_PER_STATE)),
         leaving=leaving_targets,
         drained=drained,
     )
--- a/packages/core/sardinewheel_core/decisions.py
+++ b/packages/core/sardinewheel_core/decisions.py
@@ -19,6 +19,7 @@
         "change-refused",
         "outcomes-taken",
         "platform-row-refused",
+        "repair",
         "snapshot-in-force",
         "snapshot-refused",
     }
--- a/packages/core/sardinewheel_core/dispatching.py
+++ b/packages/core/sardinewheel_core/dispatching.py
@@ -12,12 +12,16 @@
     from sardinewheel_core.host import EntryHost
 
 
+ADOPT_AFTER_S = 5.0
+
+
 class Assignment:
     """The targets that this host dispatches to, until something changes.
 
     Attributes:
         intent: Intent that they were assigned by.
         hosts: Names and domains of the hosts that they are divided among.
+        may_adopt: Whether targets of other failure domains may be taken over.
         owned: The targets with their services.
         sources: What says that a target is leaving, as last reported.
     """
@@ -25,17 +29,19 @@
     def __init__(self):
         self.intent: Intent | None = None
         self.hosts: tuple[tuple[str, str], ...] = ()
+        self.may_adopt = False
         self.owned: list[tuple[str, Target]] = []
         self.sources: dict[str, leaving.Source] = {}
 
     def refresh(
-        self, intent: Intent, hosts: list[HostState], own: str
+        self, intent: Intent, hosts: list[HostState], own: str, may_adopt: bool
     ) -> list[tuple[str, Target]]:
         """Returns the targets of a host, assigned anew if need be."""
         key = tuple((s.name, s.domain) for s in hosts)
-        if intent is not self.intent or key != self.hosts:
-            self.intent, self.hosts = intent, key
-            self.owned = owned_targets(intent, own, hosts)
+        known = (self.intent, self.hosts, self.may_adopt)
+        if known[0] is not intent or known[1:] != (key, may_adopt):
+            self.intent, self.hosts, self.may_adopt = intent, key, may_adopt
+            self.owned = owned_targets(intent, own, hosts, may_adopt=may_adopt)
         return self.owned
 
 
@@ -43,7 +49,10 @@
     """Takes over and gives up targets as hosts come and go."""
     intent = host.configuration.intent
     hosts = serving(intent, host.membership.ready(now))
-    owned = host.assignment.refresh(intent, hosts, host.identity.name)
+    may_adopt = now - host.rollout.started_at >= ADOPT_AFTER_S
+    owned = host.assignment.refresh(
+        intent, hosts, host.identity.name, may_adopt
+    )
     host.targets.own(owned)
     names = {target.name for _, target in owned}
     for name, state in host.targets.states.items():
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -54,6 +54,7 @@
 from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
 from sardinewheel_core.probing import ProbeSchedule
 from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.repairs import RepairWatch
 from sardinewheel_core.request import Answer
 from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
@@ -100,6 +101,7 @@
         held: Room of lost attempts.
         claims: Ids without a ticket, on their way to the platform's table.
         handover: Records taken from hosts that left, and given when leaving.
+        repairs: What it last saw of others, to report changes.
         stop: How far it has come with leaving.
         is_superseded: Whether a newer incarnation occupies this seat.
         decisions: Latest decisions, to explain them.
@@ -129,6 +131,7 @@
         self.claims = ClaimQueue()
         self.handover = HandoverState()
         self.stop = stopping.StopState()
+        self.repairs = RepairWatch()
         self.is_superseded = False
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
--- a/packages/core/sardinewheel_core/membership.py
+++ b/packages/core/sardinewheel_core/membership.py
@@ -1,21 +1,42 @@
-"""Which entry hosts there are, by gossip of heartbeats.
+"""Which entry hosts there are, by gossip.
 
-Every host raises its own heartbeat counter and passes on the states that it
-heard of most recently. A host is alive as long as its counter keeps rising;
-the platform's host list is never proof of life or death.
+A heartbeat carries a few whole host states and, for many hosts, only a beat:
+a number that the host raises itself and others pass on. A host is alive as
+long as its beat keeps rising; the platform's host list is never proof of life
+or death. Hosts of the own failure domain exchange heartbeats often, others
+rarely, so the bytes that a host sends do not grow with the whole system.
 """
 
 import random
+import zlib
 from typing import NamedTuple
 
 from sardinewheel_core.messages import Heartbeat, HostState, Phase
 
 GOSSIP_INTERVAL_S = 0.5
+FAR_GOSSIP_INTERVAL_S = 1.0
 SUSPECT_AFTER_S = 3.0
+SUSPECT_PER_NEAR_HOST_S = 0.05
+SUSPECT_PER_FAR_HOST_S = 0.2
+LONGEST_SUSPECT_S = 60.0
 FORGET_AFTER_S = 600.0
-FANOUT_DOMAIN = 2
-FANOUT_ELSEWHERE = 2
-MAX_STATES_PER_HEARTBEAT = 24
+PAUSE_S = 2.0
+NEWS_S = 5.0
+SMALL_DOMAIN_HOSTS = 16
+MAX_NEWS = 2
+MAX_STATES_SMALL = 6
+MAX_STATES = 3
+LARGE_DOMAIN_HOSTS = 64
+FANOUT = 3
+FANOUT_LARGE = 2
+FANOUT_FAR = 2
+MAX_NEAR_BEATS = 128
+MAX_FAR_BEATS = 32
+MAX_FAR_ANNOUNCED = 32
+MAX_STATES_WANTED = 16
+BEAT_ID_MASK = 0xFFFFFFFF
+
+Beat = tuple[int, int]
 
 
 class Peer(NamedTuple):
@@ -30,8 +51,11 @@
 
     Attributes:
         own: State of this host.
-        states: Latest state heard of each other host, by name.
-        heard_at: When each state's counter last rose, on the local clock.
+        states: Latest whole state heard of each other host, by name.
+        beats: Latest beat heard of each other host.
+        heard_at: When each beat last rose, on the local clock.
+        news_at: When each state last changed in more than its room.
+        names: Names by beat id.
         seeds: Peer addresses to try while few hosts are known.
     """
 
@@ -40,10 +64,21 @@
     ):
         self.own = own
         self.states: dict[str, HostState] = {}
+        self.beats: dict[str, int] = {}
         self.heard_at: dict[str, float] = {}
+        self.news_at: dict[str, float] = {}
+        self.names: dict[int, str] = {}
         self.seeds = seeds
         self.rng = rng
+        self.turns: dict[str, list[str]] = {}
         self.next_gossip_at = 0.0
+        self.next_far_gossip_at = 0.0
+        self.ticked_at: float | None = None
+        self._near_count = 0
+        self._changes = 0
+        self._alive_key = (0.0, -1)
+        self._alive_own = own
+        self._alive: list[HostState] = []
 
     def absorb(self, now: float, states: tuple[HostState, ...]) -> None:
         """Takes in states that are newer than what is known."""
@@ -51,10 +86,46 @@
             if state.name == self.own.name:
                 continue
             known = self.states.get(state.name)
-            if known is None or _order(state) > _order(known):
-                self.states[state.name] = state
+            if known is not None and _order(state) <= _order(known):
+                continue
+            if known is None or _news(state) != _news(known):
+                self.news_at[state.name] = now
+            self._changes += 1
+            is_new = known is None or known.incarnation != state.incarnation
+            self._put(state)
+            if is_new or state.beat > self.beats[state.name]:
+                self.beats[state.name] = state.beat
                 self.heard_at[state.name] = now
 
+    def absorb_beats(
+        self, now: float, beats: tuple[Beat, ...]
+    ) -> tuple[int, ...]:
+        """Takes in beats that rose; returns the ids that are not known."""
+        unknown = []
+        for beat_id, beat in beats:
+            name = self.names.get(beat_id)
+            if name is None:
+                unknown.append(beat_id)
+            elif beat > self.beats.get(name, 0):
+                self.beats[name] = beat
+                self.heard_at[name] = now
+                self._changes += 1
+        own_id = beat_id_of(self.own)
+        return tuple(i for i in unknown if i != own_id)[:MAX_STATES_WANTED]
+
+    def find(self, beat_ids: tuple[int, ...]) -> tuple[HostState, ...]:
+        """Returns the whole states that a peer asks for."""
+        names = (self.names.get(i) for i in beat_ids[:MAX_STATES_WANTED])
+        return tuple(self.states[n] for n in names if n is not None)
+
+    def on_tick(self, now: float) -> None:
+        """Counts no silence against others while this host was paused."""
+        if self.ticked_at is not None and now - self.ticked_at > PAUSE_S:
+            pause_s = now - self.ticked_at
+            self.heard_at = {n: t + pause_s for n, t in self.heard_at.items()}
+            self._changes += 1
+        self.ticked_at = now
+
     def is_superseded(self, states: tuple[HostState, ...]) -> bool:
         """Says whether a newer incarnation occupies this host's seat."""
         return any(
@@ -62,6 +133,14 @@
             for s in states
         )
 
+    def suspect_after_s(self, state: HostState) -> float:
+        """Returns the silence in seconds after which a host counts as dead."""
+        extra_s = SUSPECT_PER_NEAR_HOST_S * self._near_count
+        if state.domain != self.own.domain:
+            far_count = len(self.states) - self._near_count
+            extra_s = SUSPECT_PER_FAR_HOST_S * far_count
+        return min(LONGEST_SUSPECT_S, SUSPECT_AFTER_S + extra_s)
+
     def is_alive(self, now: float, name: str) -> bool:
         """Says whether a host's heartbeat rose recently."""
         if name == self.own.name:
@@ -69,12 +148,19 @@
         state = self.states.get(name)
         if state is None or state.phase is Phase.GONE:
             return False
-        return now - self.heard_at[name] < SUSPECT_AFTER_S
+        return now - self.heard_at[name] < self.suspect_after_s(state)
 
     def alive(self, now: float) -> list[HostState]:
         """Returns the live hosts, this one included, ordered by name."""
-        others = [s for s in self.states.values() if self.is_alive(now, s.name)]
-        return sorted([self.own, *others])
+        key = (now, self._changes)
+        if key != self._alive_key or self._alive_own is not self.own:
+            others = [
+                s for s in self.states.values() if self.is_alive(now, s.name)
+            ]
+            self._alive = sorted([self.own, *others])
+            self._alive_key = key
+            self._alive_own = self.own
+        return list(self._alive)
 
     def ready(self, now: float) -> list[HostState]:
         """Returns the live hosts that take requests, ordered by name."""
@@ -87,45 +173,113 @@
         self.next_gossip_at = now + GOSSIP_INTERVAL_S
         self.own = self.own._replace(beat=self.own.beat + 1)
         self._forget(now)
-        heartbeat = Heartbeat((self.own, *self._freshest()))
-        return [(peer, heartbeat) for peer in self._choose_peers(now)]
+        peers = self._choose_peers(now)
+        if not peers:
+            return []
+        heartbeat = self.heartbeat(now)
+        return [(peer, heartbeat) for peer in peers]
+
+    def heartbeat(self, now: float) -> Heartbeat:
+        """Returns what this host tells its peers at present."""
+        alive = [s for s in self.alive(now) if s.name != self.own.name]
+        near = [s for s in alive if s.domain == self.own.domain]
+        far = [s for s in alive if s.domain != self.own.domain]
+        told = self.sample(near, MAX_NEAR_BEATS)
+        told += self.sample(far, MAX_FAR_BEATS)
+        beats = tuple((beat_id_of(s), self.beats[s.name]) for s in told)
+        return Heartbeat((self.own, *self._told_states(now, told)), beats)
 
     def announce(self) -> list[tuple[Peer, Heartbeat]]:
-        """Returns heartbeats for every known host, for urgent news."""
+        """Returns heartbeats with urgent news for those who pass it on."""
         self.own = self.own._replace(beat=self.own.beat + 1)
         heartbeat = Heartbeat((self.own,))
-        return [
-            (Peer(s.name, s.peer_address), heartbeat)
-            for s in self.states.values()
-            if s.phase is not Phase.GONE
-        ]
+        others = [s for s in self.states.values() if s.phase is not Phase.GONE]
+        near = [s for s in others if s.domain == self.own.domain]
+        far = [s for s in others if s.domain != self.own.domain]
+        chosen = self.sample(near, MAX_NEAR_BEATS)
+        chosen += self.sample(far, MAX_FAR_ANNOUNCED)
+        return [(Peer(s.name, s.peer_address), heartbeat) for s in chosen]
+
+    def sample(self, items: list, count: int) -> list:
+        """Returns up to ``count`` random items."""
+        return self.rng.sample(items, min(count, len(items)))
 
-    def _freshest(self) -> list[HostState]:
-        names = sorted(self.heard_at, key=self.heard_at.get, reverse=True)
-        return [self.states[n] for n in names[:MAX_STATES_PER_HEARTBEAT]]
+    def _told_states(
+        self, now: float, told: list[HostState]
+    ) -> list[HostState]:
+        """Returns the latest news, then some other states."""
+        is_small = self._near_count < SMALL_DOMAIN_HOSTS
+        count = (MAX_STATES_SMALL if is_small else MAX_STATES) - 1
+        news = [n for n, at in self.news_at.items() if now - at < NEWS_S]
+        news.sort(key=self.news_at.get, reverse=True)
+        chosen = [self.states[n] for n in news[:MAX_NEWS]]
+        names = {s.name for s in chosen}
+        rest = [s for s in told if s.name not in names]
+        return chosen + self.sample(rest, count - len(chosen))
 
     def _choose_peers(self, now: float) -> list[Peer]:
         alive = [s for s in self.alive(now) if s.name != self.own.name]
         near = [s for s in alive if s.domain == self.own.domain]
         far = [s for s in alive if s.domain != self.own.domain]
-        chosen = self.sample(near, FANOUT_DOMAIN)
-        chosen += self.sample(far, FANOUT_ELSEWHERE)
+        is_large = self._near_count >= LARGE_DOMAIN_HOSTS
+        chosen = self._in_turn(
+            "near", near, FANOUT_LARGE if is_large else FANOUT
+        )
+        if len(far) <= MAX_FAR_BEATS:
+            chosen += self._in_turn("far", far, FANOUT_FAR)
+        elif now >= self.next_far_gossip_at:
+            self.next_far_gossip_at = now + FAR_GOSSIP_INTERVAL_S
+            chosen += self._in_turn("far", far, 1)
         peers = [Peer(s.name, s.peer_address) for s in chosen]
         known = {s.peer_address for s in alive} | {self.own.peer_address}
         silent = [a for a in self.seeds if a not in known]
-        peers += [Peer("", address) for address in self.sample(silent, 1)]
-        return peers
+        return peers + [Peer("", a) for a in self.sample(silent, 1)]
 
-    def sample(self, items: list, count: int) -> list:
-        """Returns up to ``count`` random items."""
-        return self.rng.sample(items, min(count, len(items)))
+    def _in_turn(
+        self, group: str, states: list[HostState], count: int
+    ) -> list[HostState]:
+        """Returns the next hosts of a group, each in its random turn."""
+        turns = self.turns.setdefault(group, [])
+        by_name = {s.name: s for s in states}
+        if not any(name in by_name for name in turns):
+            turns[:] = self.sample(list(by_name), len(by_name))
+        chosen: list[HostState] = []
+        while turns and len(chosen) < count:
+            name = turns.pop()
+            if name in by_name:
+                chosen.append(by_name[name])
+        return chosen
+
+    def _put(self, state: HostState) -> None:
+        known = self.states.get(state.name)
+        if known is not None:
+            self._near_count -= known.domain == self.own.domain
+            self.names.pop(beat_id_of(known), None)
+        self.states[state.name] = state
+        self._near_count += state.domain == self.own.domain
+        self.names[beat_id_of(state)] = state.name
 
     def _forget(self, now: float) -> None:
         for name, heard_at in list(self.heard_at.items()):
             if now - heard_at > FORGET_AFTER_S:
-                del self.heard_at[name]
-                del self.states[name]
+                self._changes += 1
+                state = self.states.pop(name)
+                self._near_count -= state.domain == self.own.domain
+                self.names.pop(beat_id_of(state), None)
+                for values in (self.beats, self.heard_at, self.news_at):
+                    values.pop(name, None)
+
+
+def beat_id_of(state: HostState) -> int:
+    """Returns the short id of a host's incarnation."""
+    text = f"{state.name}/{state.incarnation:x}"
+    return zlib.crc32(text.encode()) & BEAT_ID_MASK
 
 
 def _order(state: HostState) -> tuple[int, int]:
     return state.incarnation, state.beat
+
+
+def _news(state: HostState) -> HostState:
+    """Returns what of a state is worth passing on at once."""
+    return state._replace(beat=0, epoch=0, rooms=())
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -61,9 +61,21 @@
 
 
 class Heartbeat(NamedTuple):
-    """Host states that the sender heard most recently, its own first."""
+    """What the sender knows of hosts.
+
+    Attributes:
+        states: Some whole states, its own first.
+        beats: Pairs of a host's beat id and its latest beat.
+    """
 
     states: tuple[HostState, ...]
+    beats: tuple[tuple[int, int], ...] = ()
+
+
+class StatesWanted(NamedTuple):
+    """Asks for the whole states that some beat ids stand for."""
+
+    beat_ids: tuple[int, ...]
 
 
 class ChangesWanted(NamedTuple):
@@ -170,6 +182,7 @@
 
 Message = (
     Heartbeat
+    | StatesWanted
     | ChangesWanted
     | ChangesSent
     | SnapshotPart
@@ -182,6 +195,7 @@
 
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
+    StatesWanted,
     ChangesWanted,
     ChangesSent,
     SnapshotPart,
--- a/packages/core/sardinewheel_core/ownership.py
+++ b/packages/core/sardinewheel_core/ownership.py
@@ -12,7 +12,11 @@
 
 
 def owned_targets(
-    intent: Intent, own: str, ready: list[HostState]
+    intent: Intent,
+    own: str,
+    ready: list[HostState],
+    *,
+    may_adopt: bool = True,
 ) -> list[tuple[str, Target]]:
     """Returns the targets, with their services, that a host dispatches to.
 
@@ -20,6 +24,8 @@
         intent: Intent in force.
         own: Name of the host.
         ready: Live hosts that take requests.
+        may_adopt: Whether it may take over targets of other failure domains;
+            a host that just started may not know their hosts yet.
     """
     own_domain = next((s.domain for s in ready if s.name == own), None)
     region = intent.region_of(own_domain) if own_domain else None
@@ -31,7 +37,7 @@
     for domain in domains:
         hosts = [s.name for s in in_region if s.domain == domain]
         hosts = hosts or [s.name for s in in_region]
-        if own not in hosts:
+        if own not in hosts or not (may_adopt or domain == own_domain):
             continue
         by_service: dict[str, list[Target]] = {}
         for service, target in intent.targets_of_domain(domain):
--- a/packages/core/sardinewheel_core/rollout.py
+++ b/packages/core/sardinewheel_core/rollout.py
@@ -37,7 +37,8 @@
 POLLERS_PER_DOMAIN = 2
 ROWS_PER_POLL = 50
 ASK_INTERVAL_S = 1.0
-JOIN_WAIT_S = 2.0
+JOIN_WAIT_S = 1.5
+UNSYNCED_JOIN_WAIT_S = 3.0
 PUSH_NEAR = 3
 PUSH_FAR = 3
 
@@ -55,7 +56,7 @@
         poll_started_at: When that read began.
         next_ask_at: Instant before which neighbours are not asked again.
         synced: Whether this host has seen the platform's head.
-        ready_at: Instant from which neighbours alone make it ready.
+        started_at: When this host started.
         reads: Reads of the platform's services so far.
         writes: Writes to them so far.
         refused: Row or change last reported as refused.
@@ -69,7 +70,7 @@
         self.poll_started_at = now
         self.next_ask_at = now
         self.synced = False
-        self.ready_at = now + JOIN_WAIT_S
+        self.started_at = now
         self.reads = 0
         self.writes = 0
         self.refused = ""
@@ -246,13 +247,20 @@
 
 
 def become_ready(host: "EntryHost", now: float) -> None:
-    """Makes a joining host ready once its configuration is the latest."""
+    """Makes a joining host ready once its configuration is the latest.
+
+    It waits until it has heard of its neighbours, so that it does not take
+    over targets that they dispatch to.
+    """
     if host.phase is not Phase.JOINING or not host.configuration.version:
         return
     known = max((s.version for s in host.membership.alive(now)), default=0)
     if host.configuration.version < known:
         return
-    if host.rollout.synced or now >= host.rollout.ready_at:
+    age_s = now - host.rollout.started_at
+    if age_s < JOIN_WAIT_S:
+        return
+    if host.rollout.synced or age_s >= UNSYNCED_JOIN_WAIT_S:
         host.membership.own = host.membership.own._replace(phase=Phase.READY)
         host.report(now, "ready", version=host.configuration.version)
 
--- a/tests/core/cluster.py
+++ b/tests/core/cluster.py
@@ -69,7 +69,7 @@
             identity=identity, rng=random.Random(incarnation), now=self.now
         )
         self.hosts[name] = host
-        host.rollout.synced = True
+        host.rollout.started_at -= 60.0
         take_changes(host, self.now, (house(),), "test")
         for effect in host.handle(self.now, Ticked()):
             if isinstance(effect, Send):
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -52,7 +52,7 @@
         self.host = EntryHost(
             identity=identity, rng=random.Random(1), now=self.now
         )
-        self.host.rollout.synced = True
+        self.host.rollout.started_at -= 60.0
         take_changes(self.host, self.now, (change,), "test")
         for state in self.host.targets.states.values():
             state.limit = state.target.slots
