Move traffic by shifts, each within its cap in any interval

Before: shifts could be ordered and moved nothing; Exchange.region was never set. Now each seat of the source region holds an integer part of a shift's cap and counts the weight it moved in the last interval per request. The position grows by pace, holds with its reason while the destination is silent, cold or shedding or the seat may not be used, returns after an abort, and is taken from the neighbours by a fresh host. A fresh host moves nothing until its predecessor's interval is over; a part that rises waits an interval. A request is decided once and moved by at most one shift.

--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -10,6 +10,7 @@
     proposals,
     rollout,
     seats,
+    shift,
     stopping,
 )
 from sardinewheel_core.effects import (
@@ -46,6 +47,7 @@
     handover.on_tick(host, now)
     host.allowance.share = host.shares.advance(now)
     loans.on_tick(host, now)
+    shift.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -125,4 +127,6 @@
         rooms=rooms,
         spare=host.allowance.lendable(now),
         settled=host.shares.settled,
+        positions=host.shifts.positions(),
+        strains=host.targets.strains(now),
     )
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -57,7 +57,7 @@
         request: The request.
         kind: Its kind, once identified.
         book: Book that its outcome belongs in, when this host owns its id.
-        region: Region that is to execute it, once placed.
+        shift: Shift that moved it, empty if none did, nothing if undecided.
         stage: Where it stands.
         attempt_id: Attempt under way, or 0.
         target: Target of the attempt under way.
@@ -77,7 +77,7 @@
         self.request = request
         self.kind: Kind | None = None
         self.book: OutcomeBook | None = None
-        self.region: str | None = None
+        self.shift: str | None = None
         self.stage = Stage.ARRIVED
         self.attempt_id = 0
         self.target: TargetState | None = None
--- a/packages/core/sardinewheel_core/filters/placement.py
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from sardinewheel_core import shift
 from sardinewheel_core.exchange import Exchange
 from sardinewheel_core.filters.verdict import Continue, Delegate, Verdict
 from sardinewheel_core.messages import HostState
@@ -14,7 +15,10 @@
 
 
 def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
-    """Hands a request on when another host has room and this one has not."""
+    """Hands a request on if a shift moves it, or if only others have room."""
+    moved = _move(host, now, exchange)
+    if moved is not None:
+        return moved
     if exchange.request.hops >= MAX_HOPS or _has_room(host, now, exchange):
         return Continue()
     peer = _best_peer(host, now, exchange)
@@ -31,8 +35,28 @@
     )
 
 
+def _move(host: "EntryHost", now: float, exchange: Exchange) -> Delegate | None:
+    """Decides once whether a shift moves a request, and counts it if so."""
+    if exchange.shift is not None:
+        return None
+    exchange.shift = ""
+    chosen = shift.choose(host, now, exchange)
+    if chosen is None:
+        return None
+    peer = _best_peer(host, now, exchange, region=chosen.destination)
+    if peer is None:
+        return None
+    exchange.shift = chosen.name
+    shift.count(host, now, chosen, exchange.request.weight)
+    return Delegate(peer, Reason.SHIFTED)
+
+
 def _best_peer(
-    host: "EntryHost", now: float, exchange: Exchange
+    host: "EntryHost",
+    now: float,
+    exchange: Exchange,
+    *,
+    region: str | None = None,
 ) -> HostState | None:
     intent = host.configuration.intent
     service = exchange.request.service
@@ -42,6 +66,7 @@
         if s.name != host.identity.name
         and s.name not in exchange.refused_by
         and dict(s.rooms).get(service, 0) > 0
+        and region in (None, intent.region_of(s.domain))
     ]
 
     def rank(state: HostState) -> tuple:
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -54,6 +54,7 @@
 from sardinewheel_core.request import Answer
 from sardinewheel_core.seats import SeatState
 from sardinewheel_core.shares import ShareHistory
+from sardinewheel_core.shift import ShiftBook
 from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
 from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
@@ -90,6 +91,7 @@
         shares: Its share by configuration version.
         loans: Loans that it asked for.
         seat: Its hold on its seat.
+        shifts: What it moves to other regions.
         book: Outcomes of requests that may not be repeated.
         targets: Targets that it dispatches to.
         lines: Waiting requests, by service.
@@ -114,6 +116,7 @@
         self.shares = ShareHistory(seat=identity.name, domain=identity.domain)
         self.loans = LoanBook()
         self.seat = SeatState(now=now)
+        self.shifts = ShiftBook(now=now)
         self.book = OutcomeBook(started_at=now)
         self.targets = TargetPool(rng=rng)
         self.lines: dict[str, WaitingLine] = {}
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -22,6 +22,13 @@
     GONE = "gone"
 
 
+class Strain(StrEnum):
+    """Why the targets of a service should not get more work for now."""
+
+    COLD = "cold"
+    SHEDDING = "shedding"
+
+
 class HostState(NamedTuple):
     """What an entry host says about itself; others pass it on unchanged.
 
@@ -41,6 +48,9 @@
             for whose request ids this host answers.
         spare: Weight units that it could lend within its region.
         settled: Version that every seat of its region has reached for good.
+        positions: Pairs of shift and the share of traffic that it moves, per
+            mille.
+        strains: Pairs of service and :class:`Strain` of its targets.
     """
 
     name: str
@@ -57,6 +67,8 @@
     answers_for: tuple[tuple[str, int], ...] = ()
     spare: int = 0
     settled: int = 0
+    positions: tuple[tuple[str, int], ...] = ()
+    strains: tuple[tuple[str, str], ...] = ()
 
 
 class Heartbeat(NamedTuple):
--- a/packages/core/sardinewheel_core/shares.py
+++ b/packages/core/sardinewheel_core/shares.py
@@ -91,11 +91,17 @@
 
     def usable(self) -> int:
         """Returns the units that this seat may use."""
+        tables = self.live_tables()
+        return min((table.get(self.seat, 0) for table in tables), default=0)
+
+    def live_tables(self) -> list[Shares]:
+        """Returns the shares of each version that may still be held.
+
+        Empty when some of them are unknown.
+        """
         first, last = self._first(), self.intent.version
         tables = [t for v, t in self.tables.items() if v >= first]
-        if len(tables) < last - first + 1:
-            return 0
-        return min(table.get(self.seat, 0) for table in tables)
+        return tables if len(tables) == last - first + 1 else []
 
     def _add(self, intent: Intent) -> None:
         self.intent = intent
@@ -117,4 +123,7 @@
         after = self.tables.get(version + 1)
         if before is None or after is None:
             return False
-        return all(units <= after.get(n, 0) for n, units in before.items())
+        # A seat that joins or leaves changes the parts of shifts, too.
+        if before and before.keys() != after.keys():
+            return False
+        return all(units <= after[n] for n, units in before.items())
--- a/packages/core/sardinewheel_core/targets.py
+++ b/packages/core/sardinewheel_core/targets.py
@@ -9,6 +9,7 @@
 import random
 
 from sardinewheel_core.intent import Target
+from sardinewheel_core.messages import Strain
 
 SLOW_START_SLOTS = 1
 WARM_AFTER_ANSWERS = 10
@@ -122,6 +123,22 @@
         targets = self.of_service(service)
         return sum(s.target.slots for s in targets if not s.leaving)
 
+    def strains(self, now: float) -> tuple[tuple[str, str], ...]:
+        """Returns the services whose targets should not get more work.
+
+        A service is strained when this is true of half of its targets.
+        """
+        strains = []
+        for service in sorted({s.service for s in self.states.values()}):
+            states = self.of_service(service)
+            shedding = sum(now < s.paused_until for s in states)
+            cold = sum(not s.is_warm() for s in states)
+            if 2 * shedding >= len(states):
+                strains.append((service, str(Strain.SHEDDING)))
+            elif 2 * cold >= len(states):
+                strains.append((service, str(Strain.COLD)))
+        return tuple(strains)
+
     def free(self, service: str, now: float) -> int:
         """Returns the requests of a service that fit now."""
         return sum(s.free(now) for s in self.of_service(service))
