--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 test: setup lint
 	$(BIN)/python -m pytest
+	$(BIN)/behave --format progress
 
 model: setup
 	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -5,8 +5,11 @@
 from sardinewheel_core import (
     claims,
     dispatching,
+    drains,
     handover,
+    leaving,
     loans,
+    probing,
     proposals,
     rollout,
     seats,
@@ -42,6 +45,7 @@
 def on_tick(host: "EntryHost", now: float) -> None:
     """Does what is due: epochs, gossip, polling, ownership, stopping."""
     host.book.advance(now)
+    leaving.on_tick(host, now)
     host.delegations.advance(now)
     seats.on_tick(host, now)
     handover.on_tick(host, now)
@@ -54,6 +58,8 @@
     rollout.poll(host, now)
     proposals.on_tick(host, now)
     dispatching.refresh_targets(host, now)
+    drains.on_tick(host, now)
+    probing.on_tick(host, now)
     stopping.on_tick(host, now)
 
 
@@ -106,25 +112,26 @@
 
 def on_host_list(host: "EntryHost", now: float, event: HostListRead) -> None:
     """Takes in the platform's list of hosts, as a hint about targets."""
+    leaving.on_host_list(host, now, event.hosts)
+    dispatching.refresh_targets(host, now)
 
 
 def on_load(host: "EntryHost", now: float, event: LoadRead) -> None:
     """Takes in a target's answer to a probe."""
-    state = host.targets.states.get(event.target)
-    if state is None:
-        return
-    state.report(now, healthy=event.healthy, in_flight=event.in_flight)
-    if event.draining:
-        state.leaving = True
+    probing.on_load(host, now, event)
+    dispatching.refresh_targets(host, now)
 
 
 def _refresh_own_state(host: "EntryHost", now: float) -> None:
     services = host.configuration.intent.services
+    leaving_targets, drained = leaving.told_to_others(host, now)
     rooms = tuple((name, room_for(host, now, name)) for name in services)
     host.membership.own = host.membership.own._replace(
         version=host.configuration.version,
         epoch=host.book.epoch,
         rooms=rooms,
+        leaving=leaving_targets,
+        drained=drained,
         spare=host.allowance.lendable(now),
         settled=host.shares.settled,
         positions=host.shifts.positions(),
--- a/packages/core/sardinewheel_core/filters/placement.py
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -12,6 +12,7 @@
     from sardinewheel_core.host import EntryHost
 
 MAX_HOPS = 2
+MAX_OVERFLOW_ATTEMPTS = 2
 
 
 def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
@@ -21,6 +22,9 @@
         return moved
     if exchange.request.hops >= MAX_HOPS or _has_room(host, now, exchange):
         return Continue()
+    if exchange.attempts >= MAX_OVERFLOW_ATTEMPTS:
+        # Peers had less room than they said; it waits here instead.
+        return Continue()
     peer = _best_peer(host, now, exchange)
     if peer is None:
         return Continue()
--- a/packages/core/sardinewheel_core/handover.py
+++ b/packages/core/sardinewheel_core/handover.py
@@ -151,8 +151,8 @@
         if state.successor:
             owner = Owner(state.name, state.incarnation)
             successors[owner] = state.successor
-        for name, incarnation in state.answers_for:
-            successors[Owner(name, incarnation)] = state.name
+        for owner in state.answers_for:
+            successors[owner] = state.name
     while len(successors) > MAX_SUCCESSORS:
         del successors[next(iter(successors))]
 
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -9,8 +9,10 @@
 from typing import NamedTuple
 
 from sardinewheel_core.change import Change
+from sardinewheel_core.ticket import Owner
 
 PROTOCOL_VERSION = 1
+PROTOCOL_MINOR = 0
 
 
 class Phase(StrEnum):
@@ -44,8 +46,9 @@
         epoch: Ticket epoch of the host.
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
-        answers_for: Pairs of seat name and incarnation of the stopped hosts
-            for whose request ids this host answers.
+        answers_for: Stopped hosts for whose request ids this host answers.
+        leaving: Some targets that the host itself saw leaving.
+        drained: Some places that its version drains, as ``subject/name``.
         spare: Weight units that it could lend within its region.
         settled: Version that every seat of its region has reached for good.
         positions: Pairs of shift and the share of traffic that it moves, per
@@ -64,7 +67,9 @@
     epoch: int
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
-    answers_for: tuple[tuple[str, int], ...] = ()
+    answers_for: tuple[Owner, ...] = ()
+    leaving: tuple[str, ...] = ()
+    drained: tuple[str, ...] = ()
     spare: int = 0
     settled: int = 0
     positions: tuple[tuple[str, int], ...] = ()
--- a/packages/core/sardinewheel_core/seats.py
+++ b/packages/core/sardinewheel_core/seats.py
@@ -185,7 +185,12 @@
     host.is_superseded = True
     host.allowance.usable_from = float("inf")
     host.allowance.borrowed.clear()
-    host.report(now, "seat-superseded", seat=host.identity.name)
+    host.report(
+        now,
+        "repair",
+        cause="newer incarnation in this seat",
+        effect="stops dispatching and leaves",
+    )
     stopping.on_stop(host, now)
 
 
--- a/packages/core/specs/checker.py
+++ b/packages/core/specs/checker.py
@@ -14,7 +14,7 @@
 
 import z3
 
-MAX_DEPTH = 9
+MAX_DEPTH = 10
 
 State = SimpleNamespace
 
--- a/packages/entry/sardinewheel_entry/api/outcomes.py
+++ b/packages/entry/sardinewheel_entry/api/outcomes.py
@@ -4,6 +4,7 @@
 
 import falcon
 from sardinewheel_core import claims
+from sardinewheel_core.effects import ReadRows
 from sardinewheel_core.messages import HostState
 from sardinewheel_core.request import Answer, Outcome, Reason
 from sardinewheel_core.ticket import Ticket
@@ -65,8 +66,9 @@
 
     def _find_claim(self, now: float, request_id: str) -> HostState | None:
         """Returns the live host that claimed an id without a ticket."""
-        rows = self.driver.platform.read((claims.claim_key(request_id),))
-        for _, version, value in rows or ():
+        key = claims.claim_key(request_id)
+        answer = self.driver.platform.read(ReadRows(0, (key,)))
+        for _, version, value in answer.rows:
             row = claims.decode_row(value) if version else None
             if row is not None and row.owner != self.driver.host.owner:
                 return self.driver.host.live_owner(now, row.owner)
--- a/packages/entry/sardinewheel_entry/metrics.py
+++ b/packages/entry/sardinewheel_entry/metrics.py
@@ -81,6 +81,7 @@
                 **key._asdict(),
                 "count": histogram.get_total_count(),
                 "max_us": histogram.get_max_value(),
+                "encoded": histogram.encode().decode("ascii"),
                 "percentiles_us": {
                     str(p): histogram.get_value_at_percentile(p)
                     for p in PERCENTILES
