Summarise bench results; give each region 200 callers that cache look-ups

Each of about 8,000 connections of a house is a caller of its own; with 20 callers the look-ups that they cache leave the entry hosts unevenly loaded.

--- a/packages/testing/sardinewheel_testing/caller.py
+++ b/packages/testing/sardinewheel_testing/caller.py
@@ -74,7 +74,7 @@
     seconds: float
     seed: int
     output: str
-    clients: int = 20
+    clients: int = 200
 
 
 def create_steering(settings: CallerSettings) -> Steering:
--- /dev/null
+++ b/packages/testing/sardinewheel_testing/summary.py
@@ -0,0 +1,86 @@
+"""Prints the results under ``build/bench`` as one Markdown table a house."""
+
+import json
+import math
+from pathlib import Path
+
+from sardinewheel_testing.experiments import EXPERIMENTS
+
+RESULTS = Path("build/bench")
+HOUSES = ("vallejo", "patelvara")
+HEADING = (
+    "experiment",
+    "weighty p50/p99/p99.9 ms",
+    "p99 to best",
+    "goodput to best",
+    "weighty goodput to best",
+    "least headroom (best baseline)",
+    "refused",
+    "unknown",
+    "over cap",
+    "doubled",
+    "lost",
+    "false not run",
+)
+
+
+def row(name: str, runs: list[dict]) -> tuple:
+    """Returns the cells of one experiment: the product to the baselines."""
+    product, *baselines = runs
+    outcomes = [kind["outcomes"] for kind in product["kinds"]]
+    verdict = product["verdict"]
+    return (
+        name,
+        "/".join(f"{value:.0f}" for value in product["weighty"].values()),
+        _ratio(product, baselines, lambda r: r["weighty"]["p99"], min),
+        _ratio(product, baselines, lambda r: r["goodput"], max),
+        _ratio(product, baselines, lambda r: r["weighty_goodput"], max),
+        f"{_headroom(product)} ({max(map(_headroom, baselines))})",
+        sum(o.get("refused", 0) for o in outcomes),
+        sum(o.get("unknown", 0) for o in outcomes),
+        len(verdict["over_cap"]),
+        len(verdict["doubled"]),
+        len(verdict["lost"]),
+        len(verdict["false_not_run"]),
+    )
+
+
+def _headroom(run: dict) -> int:
+    return min(run["headroom"].values())
+
+
+def _ratio(product: dict, baselines: list[dict], figure, choose) -> str:
+    values = [figure(b) for b in baselines]
+    best = choose([v for v in values if not math.isnan(v)], default=math.nan)
+    return f"{figure(product) / best:.2f}"
+
+
+def markdown(rows: list[tuple]) -> str:
+    """Returns a Markdown table; the first row is the heading.
+
+    Examples:
+        >>> print(markdown([("a", "b"), (1, 2)]))
+        | a | b |
+        |---|---|
+        | 1 | 2 |
+    """
+    lines = ["| " + " | ".join(map(str, cells)) + " |" for cells in rows]
+    lines.insert(1, "|" + "---|" * len(rows[0]))
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Prints the tables of the results that exist."""
+    for house in HOUSES:
+        rows: list[tuple] = [HEADING]
+        for experiment in EXPERIMENTS:
+            path = RESULTS / f"{house}-{experiment.name}.json"
+            if path.exists():
+                plain = json.loads(path.read_text(encoding="utf-8"))
+                rows.append(row(experiment.name, plain["runs"]))
+        if len(rows) > 1:
+            print(f"\n### {house}\n\n{markdown(rows)}")
+
+
+if __name__ == "__main__":
+    main()
