--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sardinewheel_core.change import Change
+from sardinewheel_core.ticket import Owner
 
 PROTOCOL_VERSION = 1
 PROTOCOL_MINOR = 0
@@ -38,10 +39,11 @@
         epoch: Ticket epoch of the host.
         rooms: Pairs of service name and free slots.
         successor: Host that answers for this incarnation once it is gone.
-        answers_for: Pairs of seat name and incarnation of the stopped hosts
-            for whose request ids this host answers.
+        answers_for: Stopped hosts for whose request ids this host answers.
         leaving: Some targets that the host itself saw leaving.
         drained: Some places that its version drains, as ``subject/name``.
+        spare: Weight units that it could lend within its region.
+        settled: Version that every seat of its region has reached for good.
     """
 
     name: str
@@ -55,9 +57,11 @@
     epoch: int
     rooms: tuple[tuple[str, int], ...] = ()
     successor: str = ""
-    answers_for: tuple[tuple[str, int], ...] = ()
+    answers_for: tuple[Owner, ...] = ()
     leaving: tuple[str, ...] = ()
     drained: tuple[str, ...] = ()
+    spare: int = 0
+    settled: int = 0
 
 
 class Heartbeat(NamedTuple):
@@ -95,20 +99,33 @@
 
 
 class LoanWanted(NamedTuple):
-    """Asks a host of the same region to lend units of the region's cap."""
+    """Asks a host of the same region to lend units of the region's cap.
+
+    Attributes:
+        region: Region of both hosts.
+        nonce: Number of the loan, unique in the borrower's incarnation; the
+            same when a loan is asked for again.
+        units: Weight units.
+        incarnation: Incarnation of the borrower.
+        round: Number of this ask.
+    """
 
     region: str
     nonce: int
     units: int
+    incarnation: int = 0
+    round: int = 0
 
 
 class LoanGranted(NamedTuple):
-    """Lends units for ``duration_s`` seconds, counted by the lender."""
+    """Lends units for ``duration_s`` seconds, counted from the ask."""
 
     region: str
     nonce: int
     units: int
     duration_s: float
+    incarnation: int = 0
+    round: int = 0
 
 
 class LoanReturned(NamedTuple):
@@ -116,6 +133,7 @@
 
     region: str
     nonce: int
+    incarnation: int = 0
 
 
 class OutcomeRecord(NamedTuple):
--- a/packages/entry/sardinewheel_entry/api/media.py
+++ b/packages/entry/sardinewheel_entry/api/media.py
@@ -8,7 +8,6 @@
 import falcon
 from sardinewheel_core.codec import from_plain, to_plain
 from sardinewheel_core.errors import Finding, MessageError, RequestError
-from sardinewheel_core.operator_messages import Problem
 
 MAX_MEDIA_BYTES = 1024 * 1024
 MAX_NAME_CHARS = 200
@@ -61,16 +60,6 @@
     resp.status = status
 
 
-def give_problem(
-    req: falcon.Request,
-    resp: falcon.Response,
-    error: RequestError,
-    params: dict[str, str],
-) -> None:
-    """Answers a malformed request with all that is wrong with it."""
-    give(resp, Problem(error.findings), falcon.HTTP_400)
-
-
 def _field(plain: Any, hint: Any, name: str) -> tuple[Any, list[Finding]]:
     """Returns a field's value, or what is wrong with it."""
     arguments = typing.get_args(hint)
--- a/packages/entry/sardinewheel_entry/attempts.py
+++ b/packages/entry/sardinewheel_entry/attempts.py
@@ -22,6 +22,7 @@
 REQUEST_PATH = "/v1/requests/{request_id}"
 SILENCE_S = 2.0
 SILENCE_SHARE = 0.5
+PEER_SILENCE_SHARE = 0.75
 CANCEL_TIMEOUT_S = 1.0
 
 Ended = tuple[AttemptResult, HttpResponse | None]
@@ -61,7 +62,7 @@
             return _ended(Ending.NOT_SENT, Reason.PAUSED)
         left_s = max(0.0, effect.request.deadline - time.monotonic())
         is_guarded = connection.is_pooled and effect.request.repeatable
-        sock.settimeout(silence_s(left_s) if is_guarded else left_s)
+        sock.settimeout(silence_s(effect, left_s) if is_guarded else left_s)
         reader = ResponseReader(sock, "POST")
         self.running[effect.attempt_id] = (effect, payload)
         try:
@@ -127,12 +128,14 @@
         return result, None
 
 
-def silence_s(left_s: float) -> float:
+def silence_s(effect: Dispatch | Forward, left_s: float) -> float:
     """Returns how long a used connection may stay silent, in seconds.
 
     Shorter than what is left, so that work that may be repeated is retried
-    on a new connection.
+    on a new connection. A peer gets longer, since it may retry itself.
     """
+    if isinstance(effect, Forward):
+        return PEER_SILENCE_SHARE * left_s
     return min(SILENCE_S, SILENCE_SHARE * left_s)
 
 
