Measure a host's control traffic by the size of its fleet

make slopes now also counts, for one real core among a made-up fleet, bytes and messages sent, processor time and calls to the platform.

--- a/packages/testing/sardinewheel_testing/slopes/__main__.py
+++ b/packages/testing/sardinewheel_testing/slopes/__main__.py
@@ -3,9 +3,22 @@
 import json
 from pathlib import Path
 
+from sardinewheel_testing.slopes import control
+from sardinewheel_testing.slopes.control import ControlCost
 from sardinewheel_testing.slopes.measure import all_slopes
 
 OUTPUT = Path("build/slopes.json")
+FLEETS = (11, 111, 444, 1000, 4000)
+
+
+def print_costs(costs: list[ControlCost]) -> None:
+    """Prints what control costs a host, by the size of its fleet."""
+    print("\nhosts  sent bytes/s  messages/s  share of a core  reads/s")
+    for cost in costs:
+        print(
+            f"{cost.hosts:5}  {cost.sent_bytes:12.0f}  {cost.messages:10.1f}"
+            f"  {cost.processor_share:15.4f}  {cost.reads:7.2f}"
+        )
 
 
 def main() -> None:
@@ -31,6 +44,9 @@
                 "samples": [list(s) for s in found.samples],
             }
         )
+    costs = [control.measure(hosts) for hosts in FLEETS]
+    print_costs(costs)
+    rows += [cost._asdict() for cost in costs]
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text(json.dumps(rows, indent=1), encoding="utf-8")
 
--- a/packages/testing/sardinewheel_testing/slopes/measure.py
+++ b/packages/testing/sardinewheel_testing/slopes/measure.py
@@ -87,6 +87,11 @@
     )
 
 
+def block_intent_bytes(count: int) -> float:
+    """Bytes of blocks as entries of an intent."""
+    return bytes_kept(lambda: {b.prefix: b for b in fleet.make_blocks(count)})
+
+
 def block_look_up_us(count: int) -> float:
     """Microseconds to find a block's region."""
     table = BlockTable.from_blocks(fleet.make_blocks(count))
@@ -153,8 +158,9 @@
                 for i in range(1, states + 1)
             )
         )
-        sender, message = decode(encode("host-1", heartbeat))
-        host.handle(1.0, MessageArrived(sender, message))
+        envelope = decode(encode("host-1", heartbeat))
+        event = MessageArrived(envelope.sender, envelope.message)
+        host.handle(1.0, event)
 
     return MICROSECONDS * seconds_per_call(call)
 
@@ -197,6 +203,13 @@
             (20_000, 100_000, 400_000),
             block_bytes,
         ),
+        slope(
+            "blocks in the intent",
+            "bytes",
+            "block",
+            (5_000, 20_000, 80_000),
+            block_intent_bytes,
+        ),
         slope(
             "block look-up",
             "us",
