--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -8,10 +8,12 @@
     drains,
     handover,
     leaving,
+    loans,
     probing,
     proposals,
     repairs,
     rollout,
+    seats,
     stopping,
 )
 from sardinewheel_core.effects import (
@@ -28,6 +30,9 @@
     ChangesSent,
     ChangesWanted,
     Heartbeat,
+    LoanGranted,
+    LoanReturned,
+    LoanWanted,
     Message,
     OutcomesHandedOn,
     OutcomesTaken,
@@ -49,7 +54,10 @@
     host.book.advance(now)
     leaving.on_tick(host, now)
     host.delegations.advance(now)
+    seats.on_tick(host, now)
     handover.on_tick(host, now)
+    host.allowance.share = host.shares.advance(now)
+    loans.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -71,7 +79,8 @@
             _answer(host, event.sender, StatesWanted(unknown), unknown)
             _welcome(host, now, event.sender)
             if host.membership.is_superseded(states):
-                stopping.on_superseded(host, now)
+                seats.hear_superseded(host, now)
+            host.shares.hear(states)
             handover.learn_successors(host, states)
             rollout.ask_for_changes(host, now, states)
         case StatesWanted(beat_ids):
@@ -83,6 +92,12 @@
             rollout.on_changes(host, now, event.sender, changes)
         case SnapshotPart():
             rollout.on_snapshot_part(host, now, event.sender, event.message)
+        case LoanWanted() as message:
+            loans.on_wanted(host, now, event.sender, message)
+        case LoanGranted() as message:
+            loans.on_granted(host, now, event.sender, message)
+        case LoanReturned() as message:
+            loans.on_returned(host, now, event.sender, message)
         case OutcomesHandedOn() as message:
             handover.on_handed_on(host, now, event.sender, message)
         case OutcomesTaken() as message:
@@ -116,9 +131,11 @@
         case RowsRead():
             rollout.on_rows(host, now, event)
             proposals.on_rows(host, now, event)
+            seats.on_rows(host, now, event)
         case TransactionEnded():
             proposals.on_transaction(host, now, event)
             claims.on_transaction(host, now, event)
+            seats.on_transaction(host, now, event)
         case ObjectRead():
             rollout.on_object(host, now, event)
 
@@ -146,4 +163,6 @@
         rooms=tuple(host.membership.sample(rooms, MAX_ROOMS_PER_STATE)),
         leaving=leaving_targets,
         drained=drained,
+        spare=host.allowance.lendable(now),
+        settled=host.shares.settled,
     )
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -63,12 +63,15 @@
         target: Target of the attempt under way.
         occupancy: What the attempt under way occupies.
         waiting_since: When it began to wait for room, or nothing.
+        waits_for_units: Whether a target has a slot for it, but the region's
+            cap has no room.
         wait_until: When it has waited long enough to be refused.
         refused_by: Targets and hosts that said they did not run it.
         attempts: Attempts made so far.
         dispatched_at: When the attempt under way began.
         forwarded_to: Host of the latest hand-on.
         was_lost: Whether an attempt was lost.
+        is_claimed: Whether the platform's table names this host its owner.
     """
 
     def __init__(self, arrival_id: int, request: Request):
@@ -84,11 +87,13 @@
         self.occupancy: Occupancy | None = None
         self.waiting_since: float | None = None
         self.wait_until = 0.0
+        self.waits_for_units = False
         self.refused_by: set[str] = set()
         self.attempts = 0
         self.dispatched_at = 0.0
         self.forwarded_to = ""
         self.was_lost = False
+        self.is_claimed = False
 
     @property
     def is_owned(self) -> bool:
--- a/packages/core/sardinewheel_core/filters/at_most_once.py
+++ b/packages/core/sardinewheel_core/filters/at_most_once.py
@@ -76,9 +76,17 @@
     if exchange.book is None:
         return
     reason = answer.refusal.reason if answer.refusal else answer.reason
+    outcome = answer.outcome
+    is_decided_here = exchange.is_claimed or Ticket.of_request(
+        exchange.request.id
+    )
+    if outcome is Outcome.NOT_RUN and not is_decided_here:
+        # True for the caller that hears it now; by the next time it is
+        # asked for, another host may have claimed and run the id.
+        outcome = Outcome.UNKNOWN
     exchange.book.finish(
         exchange.request.id,
-        answer.outcome,
+        outcome,
         status=answer.status,
         reason=reason,
         attempt_id=answer.attempt_id,
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import claims, leaving, occupancy
+from sardinewheel_core import claims, leaving, occupancy, retries, seats
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -59,9 +59,6 @@
     placement.apply,
     admission.apply,
 )
-MAX_ATTEMPTS = 4
-MAX_IDLE_S = 5.0
-ANSWERED_WITHIN_S = 1.0
 LEAVE_WITHIN_S = 1.5
 
 
@@ -105,7 +102,9 @@
 def may_leave(host: "EntryHost", now: float, attempt_id: int) -> bool:
     """Says whether the first byte of an attempt may leave now."""
     exchange = host.exchanges.get(attempt_id)
-    if exchange is None or host.is_superseded:
+    if exchange is None:
+        return False
+    if not seats.may_send(host, now, ordered_at=exchange.dispatched_at):
         return False
     was_paused = now - exchange.dispatched_at > LEAVE_WITHIN_S
     return not was_paused and now < exchange.request.deadline
@@ -122,13 +121,21 @@
     exchange.was_lost |= result.ending is Ending.LOST
     _release(host, now, exchange, result)
     if result.ending is Ending.ANSWERED:
-        finish(host, now, exchange, _done(exchange, event.attempt_id, result))
-    elif _may_try_again(exchange, result) and _spend_retry(host, exchange):
+        answer = Answer(
+            exchange.request.id,
+            Outcome.DONE,
+            attempt_id=event.attempt_id,
+            status=result.status,
+        )
+        finish(host, now, exchange, answer)
+    elif retries.may_try_again(exchange, result) and retries.spend_retry(
+        host, exchange
+    ):
         _run(host, now, exchange, EXECUTION_FILTERS)
     elif exchange.was_lost:
         end_unknown(host, now, exchange, result.reason)
     else:
-        finish(host, now, exchange, _not_run(host, exchange, result))
+        finish(host, now, exchange, retries.not_run(host, exchange, result))
     serve_waiting(host, now)
 
 
@@ -191,6 +198,10 @@
                     exchange.arrival_id, exchange.request.deadline
                 )
                 first.joined.append(arrival)
+                first.request = first.request._replace(
+                    is_first=first.request.is_first
+                    and exchange.request.is_first
+                )
                 return
             case Claim():
                 claims.add(host, now, exchange)
@@ -247,7 +258,7 @@
             exchange.request,
             exchange.target.target,
             exchange.arrival_id,
-            max_idle_s=_max_idle_s(exchange),
+            max_idle_s=retries.max_idle_s(exchange),
         )
     )
 
@@ -271,17 +282,11 @@
             state.http_address,
             reason,
             exchange.arrival_id,
-            max_idle_s=_max_idle_s(exchange),
+            max_idle_s=retries.max_idle_s(exchange),
         )
     )
 
 
-def _max_idle_s(exchange: Exchange) -> float:
-    if exchange.was_lost:
-        return 0.0
-    return MAX_IDLE_S if exchange.request.repeatable else ANSWERED_WITHIN_S
-
-
 def _release(
     host: "EntryHost", now: float, exchange: Exchange, result: AttemptResult
 ) -> None:
@@ -309,54 +314,9 @@
         host.drains.observe(state.service, result.duration_s)
     elif result.reason is not Reason.PAUSED:
         state.failed(now, host.rng)
-        exchange.refused_by.add(state.target.name)
-
-
-def _may_try_again(exchange: Exchange, result: AttemptResult) -> bool:
-    if exchange.attempts >= MAX_ATTEMPTS:
-        return False
-    if result.ending is Ending.LOST:
-        return exchange.request.repeatable and exchange.request.resendable
-    if not exchange.request.resendable and result.ending is Ending.REFUSED:
-        return False
-    if exchange.request.repeatable or exchange.is_owned:
-        return True
-    return exchange.request.delegated
-
-
-def _spend_retry(host: "EntryHost", exchange: Exchange) -> bool:
-    if exchange.stage is Stage.FORWARDED:
-        # A peer without room costs the targets nothing.
-        return True
-    return host.line(exchange.request.service).budget.spend()
-
-
-def _done(exchange: Exchange, attempt_id: int, result: AttemptResult) -> Answer:
-    return Answer(
-        exchange.request.id,
-        Outcome.DONE,
-        attempt_id=attempt_id,
-        status=result.status,
-    )
-
-
-def _not_run(
-    host: "EntryHost", exchange: Exchange, result: AttemptResult
-) -> Answer:
-    """Answers an attempt that nobody ran and that is not tried again."""
-    is_owner_elsewhere = (
-        not exchange.request.repeatable
-        and not exchange.is_owned
-        and not exchange.request.delegated
-    )
-    if is_owner_elsewhere and result.ending is Ending.NOT_SENT:
-        return Answer(
-            exchange.request.id,
-            Outcome.UNKNOWN,
-            reason=Reason.OWNER_UNREACHABLE,
-        )
-    refusal = Refusal(result.reason, result.retry_after_s)
-    return Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
+        # After a lost connection the same target may answer on a new one.
+        if result.ending is not Ending.LOST:
+            exchange.refused_by.add(state.target.name)
 
 
 def finish(
--- a/packages/core/sardinewheel_core/stopping.py
+++ b/packages/core/sardinewheel_core/stopping.py
@@ -2,14 +2,16 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import handover
+from sardinewheel_core import handover, seats
 from sardinewheel_core.effects import Exit, Send
+from sardinewheel_core.lookup import TTL_S
 from sardinewheel_core.messages import Phase
 
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
 LINGER_S = 1.0
+LONGEST_LINGER_S = TTL_S + 0.5
 
 
 class StopState:
@@ -18,10 +20,12 @@
     Attributes:
         exit_from: Instant before which it serves late arrivals, or nothing
             while it stays.
+        exit_by: Instant from which no caller has it in a cached look-up.
     """
 
     def __init__(self):
         self.exit_from: float | None = None
+        self.exit_by = 0.0
 
 
 def on_stop(host: "EntryHost", now: float) -> None:
@@ -30,29 +34,26 @@
         return
     was_listed = host.phase is Phase.READY
     host.stop.exit_from = now + (LINGER_S if was_listed else 0.0)
+    host.stop.exit_by = now + LONGEST_LINGER_S
     _announce(host, Phase.LEAVING)
     handover.begin(host, now)
     host.report(now, "leaving", in_flight=len(host.exchanges))
 
 
-def on_superseded(host: "EntryHost", now: float) -> None:
-    """Leaves because a newer incarnation occupies this host's seat."""
-    if not host.is_superseded:
-        host.is_superseded = True
-        host.report(
-            now,
-            "repair",
-            cause="newer incarnation in this seat",
-            effect="stops dispatching and leaves",
-        )
-        on_stop(host, now)
+def on_arrival(host: "EntryHost", now: float) -> None:
+    """Stays a little longer, since callers still use cached look-ups."""
+    stop = host.stop
+    if stop.exit_from is not None:
+        stop.exit_from = max(stop.exit_from, min(now + LINGER_S, stop.exit_by))
 
 
 def on_tick(host: "EntryHost", now: float) -> None:
     """Exits once nothing is in flight and late arrivals have ceased."""
     if host.phase is Phase.GONE:
         host.emit(Exit())
-    elif host.phase is Phase.LEAVING and _is_idle(host, now):
+        return
+    may_exit = host.phase is Phase.LEAVING and _is_idle(host, now)
+    if may_exit and seats.release(host, now):
         _announce(host, Phase.GONE)
 
 
--- /dev/null
+++ b/packages/core/specs/at_most_once.py
@@ -0,0 +1,274 @@
+"""Specification of at most once: one request id, its owner and a successor.
+
+Any number of copies of the id may be on the way and arrive at any time, at
+any host, in any order. Bytes that left for the target may be executed at any
+later time. Each host may crash at any moment and forgets everything.
+
+===================  ==========================================================
+state                code
+===================  ==========================================================
+``x_knows``          the id has a record in ``OutcomeBook.records``
+``x_may_send``       its exchange is in ``EntryHost.owned``, without an attempt
+``x_sent``           a ``Dispatch`` passed ``EntryHost.confirm``
+``o_is_closed``      ``OutcomeBook.is_closed``
+``parts_sent``       ``OutcomesHandedOn`` may arrive, any number of times
+``s_took``           the owner is in ``HandoverState.taken``
+``said_not_run``     a ``Reply`` with ``Outcome.NOT_RUN``
+===================  ==========================================================
+"""
+
+from typing import NamedTuple
+
+import z3
+from checker import State, Step, System, main
+
+BOOL = z3.BoolSort()
+REAL = z3.RealSort()
+
+VARIABLES = {
+    "is_asked": BOOL,
+    # Owner.
+    "o_is_up": BOOL,
+    "o_knows": BOOL,
+    "o_may_send": BOOL,
+    "o_sent": BOOL,
+    "o_is_closed": BOOL,
+    # Records on their way to the successor.
+    "parts_sent": BOOL,
+    "parts_know": BOOL,
+    # Successor, the incarnation that the records are addressed to.
+    "s_is_up": BOOL,
+    "s_took": BOOL,
+    "s_knows": BOOL,
+    "s_may_send": BOOL,
+    "s_sent": BOOL,
+    # What the outside sees.
+    "executions": REAL,
+    "said_not_run": BOOL,
+}
+
+
+class Rules(NamedTuple):
+    """The rules of the protocol; each broken variant changes one.
+
+    Attributes:
+        keeps_tombstone: Whether "not run" uses the id up.
+        only_owner_refuses: Whether no other host says "not run".
+        sends_once: Whether nothing is sent again after a lost answer.
+        closes_first: Whether the owner begins no id after the snapshot.
+        binds_incarnation: Whether a process that replaces the successor
+            ignores the records.
+        forgets_ownership: Whether a restarted owner does not own old ids.
+    """
+
+    keeps_tombstone: bool = True
+    only_owner_refuses: bool = True
+    sends_once: bool = True
+    closes_first: bool = True
+    binds_incarnation: bool = True
+    forgets_ownership: bool = True
+
+
+def ticket_system(name: str, rules: Rules) -> System:
+    """Returns the transition system of an id with a ticket."""
+    return System(
+        name=name,
+        variables=VARIABLES,
+        inputs={},
+        start=_start,
+        steps=lambda s, i: (
+            _owner_steps(s, rules)
+            + _handover_steps(s, rules)
+            + _successor_steps(s, rules)
+            + _other_steps(s, rules)
+        ),
+        holds=_holds,
+        invariant=_invariant,
+    )
+
+
+def _start(s: State) -> z3.BoolRef:
+    flags = [n for n, sort in VARIABLES.items() if sort == BOOL]
+    up = ("o_is_up", "s_is_up")
+    return z3.And(
+        s.o_is_up,
+        s.s_is_up,
+        *[z3.Not(getattr(s, n)) for n in flags if n not in up],
+        s.executions == 0,
+    )
+
+
+def _holds(s: State) -> z3.BoolRef:
+    return z3.And(
+        s.executions <= 1, z3.Implies(s.said_not_run, s.executions == 0)
+    )
+
+
+def _chances(s: State) -> z3.ArithRef:
+    """Counts executions and what may still become one."""
+    flags = (s.o_may_send, s.o_sent, s.s_may_send, s.s_sent)
+    return s.executions + z3.Sum([z3.If(f, 1.0, 0.0) for f in flags])
+
+
+def _invariant(s: State) -> z3.BoolRef:
+    is_used = z3.Or(_chances(s) > 0, s.said_not_run)
+    return z3.And(
+        s.executions >= 0,
+        _chances(s) <= 1,
+        z3.Implies(s.said_not_run, _chances(s) == 0),
+        s.parts_sent == s.o_is_closed,
+        z3.Implies(s.parts_sent, s.parts_know == s.o_knows),
+        z3.Implies(s.s_took, s.parts_sent),
+        z3.Implies(z3.And(s.s_took, s.parts_know), s.s_knows),
+        z3.Implies(s.s_knows, s.s_took),
+        z3.Implies(is_used, z3.Or(s.o_knows, s.s_knows)),
+        z3.Implies(z3.Or(s.o_may_send, s.o_sent), s.o_knows),
+        z3.Implies(z3.Or(s.s_may_send, s.s_sent), s.s_knows),
+    )
+
+
+def _owner_steps(s: State, rules: Rules) -> list[Step]:
+    is_new = z3.And(s.is_asked, s.o_is_up, z3.Not(s.o_knows))
+    may_begin = z3.And(is_new, z3.Not(s.o_is_closed))
+    after_crash = {"o_is_up": False, "o_may_send": False}
+    refused = {"said_not_run": True, "o_knows": rules.keeps_tombstone}
+    steps = [
+        Step(
+            "owner: begins the id",
+            may_begin,
+            {"o_knows": True, "o_may_send": True},
+        ),
+        Step("owner: refuses the id on arrival", may_begin, refused),
+        Step(
+            "owner: refuses the id before it is sent",
+            z3.And(s.o_is_up, s.o_may_send),
+            {**refused, "o_may_send": False},
+        ),
+        Step(
+            "owner: sends the request",
+            z3.And(s.o_is_up, s.o_may_send),
+            {"o_may_send": False, "o_sent": True},
+        ),
+        *_target_steps(s, "o"),
+        Step("owner: crashes", s.o_is_up, after_crash),
+    ]
+    if not rules.sends_once:
+        retry = z3.And(s.o_is_up, s.o_sent)
+        steps.append(
+            Step("owner: retries a lost one", retry, {"o_may_send": True})
+        )
+    if not rules.forgets_ownership:
+        steps.append(
+            Step(
+                "owner: restarts and owns old ids",
+                z3.Not(s.o_is_up),
+                {"o_is_up": True, "o_knows": False},
+            )
+        )
+    return steps
+
+
+def _target_steps(s: State, host: str) -> list[Step]:
+    sent, is_up = getattr(s, f"{host}_sent"), getattr(s, f"{host}_is_up")
+    return [
+        Step(
+            f"target: executes what {host} sent",
+            sent,
+            {f"{host}_sent": False, "executions": s.executions + 1},
+        ),
+        Step(
+            f"target: refuses what {host} sent",
+            z3.And(sent, is_up),
+            {f"{host}_sent": False, f"{host}_may_send": True},
+        ),
+    ]
+
+
+def _handover_steps(s: State, rules: Rules) -> list[Step]:
+    steps = [
+        Step(
+            "owner: hands its records on",
+            z3.And(s.o_is_up, z3.Not(s.parts_sent)),
+            {
+                "o_is_closed": rules.closes_first,
+                "parts_sent": True,
+                "parts_know": s.o_knows,
+            },
+        ),
+        Step(
+            "successor: takes the records",
+            z3.And(s.parts_sent, s.s_is_up, z3.Not(s.s_took)),
+            {"s_took": True, "s_knows": s.parts_know},
+        ),
+        Step(
+            "successor: crashes",
+            s.s_is_up,
+            {"s_is_up": False, "s_may_send": False},
+        ),
+    ]
+    if not rules.binds_incarnation:
+        steps.append(
+            Step(
+                "successor: is replaced and takes the records again",
+                z3.And(s.parts_sent, z3.Not(s.s_is_up)),
+                {"s_is_up": True, "s_took": True, "s_knows": s.parts_know},
+            )
+        )
+    return steps
+
+
+def _successor_steps(s: State, rules: Rules) -> list[Step]:
+    is_up = z3.And(s.s_is_up, s.s_took)
+    may_begin = z3.And(s.is_asked, is_up, z3.Not(s.s_knows))
+    refused = {"said_not_run": True, "s_knows": rules.keeps_tombstone}
+    return [
+        Step(
+            "successor: begins the id",
+            may_begin,
+            {"s_knows": True, "s_may_send": True},
+        ),
+        Step("successor: refuses the id on arrival", may_begin, refused),
+        Step(
+            "successor: refuses the id before it is sent",
+            z3.And(is_up, s.s_may_send),
+            {**refused, "s_may_send": False},
+        ),
+        Step(
+            "successor: sends the request",
+            z3.And(is_up, s.s_may_send),
+            {"s_may_send": False, "s_sent": True},
+        ),
+        *_target_steps(s, "s"),
+    ]
+
+
+def _other_steps(s: State, rules: Rules) -> list[Step]:
+    steps = [Step("caller: sends the id", z3.BoolVal(True), {"is_asked": True})]
+    if not rules.only_owner_refuses:
+        steps.append(
+            Step(
+                "another host: refuses the id",
+                s.is_asked,
+                {"said_not_run": True},
+            )
+        )
+    return steps
+
+
+SOUND = [ticket_system("an id with a ticket runs at most once", Rules())]
+BROKEN = [
+    ticket_system("broken: no tombstone", Rules(keeps_tombstone=False)),
+    ticket_system("broken: anyone refuses", Rules(only_owner_refuses=False)),
+    ticket_system("broken: retries lost work", Rules(sends_once=False)),
+    ticket_system("broken: begins after hand-over", Rules(closes_first=False)),
+    ticket_system(
+        "broken: any incarnation takes the records",
+        Rules(binds_incarnation=False),
+    ),
+    ticket_system(
+        "broken: a restarted owner owns old ids", Rules(forgets_ownership=False)
+    ),
+]
+
+if __name__ == "__main__":
+    main(SOUND, BROKEN)
--- /dev/null
+++ b/packages/core/specs/configuration.py
@@ -0,0 +1,248 @@
+"""Specification of the configuration chain: one change id, two hosts.
+
+An operator proposes a change, loses answers, and proposes it again through
+any host; other operators' changes are accepted meanwhile. A transaction that
+was sent may reach the table at any later time, any number of times. Changes
+and snapshots reach a host lost, doubled, late and out of order; either host
+may be replaced by a fresh one at any moment. The operator does not propose
+the change again once told that it is not accepted.
+
+================  =============================================================
+state             code
+================  =============================================================
+``head``          row version of ``HEAD_KEY``
+``x_times``       rows ``change_key(v)`` that hold the change
+``x_at``          version that it created; ``ChangeIdRow.version``
+``x_max_base``    highest version that it was offered on: ``Transact.checks``
+``said_yes``      ``ProposalState.ACCEPTED`` was answered
+``said_no``       ``ProposalState.CONFLICT`` or ``REJECTED`` was answered
+``a``, ``b``      ``Configuration.version`` of the hosts
+``a_has_x``       whether ``Configuration.intent`` of the host has the change
+``was_rewritten`` a version of the table was written twice
+``has_fallen``    a host's version fell
+================  =============================================================
+"""
+
+from typing import NamedTuple
+
+import z3
+from checker import State, Step, System, main
+
+BOOL = z3.BoolSort()
+INT = z3.IntSort()
+
+VARIABLES = {
+    "head": INT,
+    "x_times": INT,
+    "x_at": INT,
+    "x_max_base": INT,
+    "x_is_sent": BOOL,
+    "said_yes": BOOL,
+    "said_no": BOOL,
+    "a": INT,
+    "a_has_x": BOOL,
+    "b": INT,
+    "b_has_x": BOOL,
+    "was_rewritten": BOOL,
+    "has_fallen": BOOL,
+}
+NOTHING = z3.IntVal(0)
+
+
+class Rules(NamedTuple):
+    """The rules of the protocol; each broken variant changes one.
+
+    Attributes:
+        checks_id: Whether a retry keeps the change id and the transaction
+            inserts its row.
+        checks_head: Whether the transaction checks the head.
+        takes_successor_only: Whether a host takes only the next change.
+        takes_newer_only: Whether a host takes only a newer snapshot.
+        settles_by_head: Whether an absent row of the id is final only when
+            the head has passed every version that the change was offered on.
+    """
+
+    checks_id: bool = True
+    checks_head: bool = True
+    takes_successor_only: bool = True
+    takes_newer_only: bool = True
+    settles_by_head: bool = True
+
+
+def chain_system(name: str, rules: Rules) -> System:
+    """Returns the transition system of a change and two hosts."""
+    return System(
+        name=name,
+        variables=VARIABLES,
+        inputs={"version": INT},
+        start=_start,
+        steps=lambda s, i: (
+            _operator_steps(s, i, rules)
+            + _table_steps(s, rules)
+            + _host_steps(s, i, rules, "a", "b")
+            + _host_steps(s, i, rules, "b", "a")
+        ),
+        holds=_holds,
+        invariant=_invariant,
+    )
+
+
+def _start(s: State) -> z3.BoolRef:
+    flags = [n for n, sort in VARIABLES.items() if sort == BOOL]
+    numbers = [n for n, sort in VARIABLES.items() if sort == INT]
+    return z3.And(
+        *[z3.Not(getattr(s, n)) for n in flags],
+        *[getattr(s, n) == 0 for n in numbers],
+    )
+
+
+def _agrees(s: State, host: str) -> z3.BoolRef:
+    """Says whether a host has what its version stands for."""
+    version, has_x = getattr(s, host), getattr(s, f"{host}_has_x")
+    return has_x == z3.And(s.x_at > 0, s.x_at <= version)
+
+
+def _holds(s: State) -> z3.BoolRef:
+    return z3.And(
+        s.x_times <= 1,
+        z3.Not(s.was_rewritten),
+        z3.Not(s.has_fallen),
+        _agrees(s, "a"),
+        _agrees(s, "b"),
+        z3.Implies(s.said_yes, s.x_times == 1),
+        z3.Implies(s.said_no, s.x_times == 0),
+    )
+
+
+def _invariant(s: State) -> z3.BoolRef:
+    return z3.And(
+        _holds(s),
+        s.x_times >= 0,
+        s.x_at >= 0,
+        s.x_at <= s.head,
+        (s.x_times > 0) == (s.x_at > 0),
+        s.x_max_base >= 0,
+        s.x_max_base <= s.head,
+        z3.Implies(z3.Not(s.x_is_sent), s.x_times == 0),
+        z3.Implies(s.said_no, s.x_max_base < s.head),
+        *[z3.And(v >= 0, v <= s.head) for v in (s.a, s.b)],
+    )
+
+
+def _operator_steps(s: State, i: State, rules: Rules) -> list[Step]:
+    base = i.version
+    is_open = z3.Not(s.said_no)
+    if rules.settles_by_head:
+        is_final = s.x_max_base < s.head
+    else:
+        is_final = z3.BoolVal(True)
+    return [
+        Step(
+            "operator: the change is offered on some version",
+            z3.And(is_open, base >= 0, base <= s.head),
+            {
+                "x_is_sent": True,
+                "x_max_base": z3.If(base > s.x_max_base, base, s.x_max_base),
+            },
+        ),
+        Step(
+            "operator: told that the change is accepted",
+            s.x_times > 0,
+            {"said_yes": True},
+        ),
+        Step(
+            "operator: told that the change is not accepted",
+            z3.And(s.x_is_sent, s.x_times == 0, is_final),
+            {"said_no": True},
+        ),
+    ]
+
+
+def _table_steps(s: State, rules: Rules) -> list[Step]:
+    is_unused = s.x_times == 0 if rules.checks_id else z3.BoolVal(True)
+    accepted = {"x_times": s.x_times + 1, "x_at": s.head + 1}
+    steps = [
+        Step(
+            "table: accepts the change, its answer may be lost",
+            z3.And(s.x_is_sent, is_unused, s.x_max_base >= s.head),
+            {**accepted, "head": s.head + 1},
+        ),
+        Step(
+            "table: accepts another change",
+            z3.BoolVal(True),
+            {"head": s.head + 1},
+        ),
+    ]
+    if not rules.checks_head:
+        steps.append(
+            Step(
+                "table: accepts the change on an old version",
+                z3.And(s.x_is_sent, is_unused, s.x_max_base < s.head),
+                {"x_times": s.x_times + 1, "was_rewritten": True},
+            )
+        )
+    return steps
+
+
+def _host_steps(
+    s: State, i: State, rules: Rules, host: str, other: str
+) -> list[Step]:
+    version, has_x = getattr(s, host), getattr(s, f"{host}_has_x")
+    told, told_x = getattr(s, other), getattr(s, f"{other}_has_x")
+    exists = z3.And(i.version >= 1, i.version <= s.head)
+    if rules.takes_successor_only:
+        is_next = i.version == version + 1
+    else:
+        is_next = i.version > version
+    is_newer = told > version if rules.takes_newer_only else told >= 0
+    return [
+        Step(
+            f"host {host}: takes a change",
+            z3.And(exists, is_next),
+            {
+                host: i.version,
+                f"{host}_has_x": z3.Or(has_x, i.version == s.x_at),
+            },
+        ),
+        Step(
+            f"host {host}: takes a snapshot of host {other}",
+            is_newer,
+            {
+                host: told,
+                f"{host}_has_x": told_x,
+                "has_fallen": z3.Or(s.has_fallen, told < version),
+            },
+        ),
+        Step(
+            f"host {host}: is replaced by a fresh one",
+            z3.BoolVal(True),
+            {host: NOTHING, f"{host}_has_x": False},
+        ),
+    ]
+
+
+SOUND = [chain_system("configuration chain", Rules())]
+BROKEN = [
+    chain_system(
+        "configuration: a retry gets a new change id", Rules(checks_id=False)
+    ),
+    chain_system(
+        "configuration: a change is accepted on any version",
+        Rules(checks_head=False),
+    ),
+    chain_system(
+        "configuration: a host takes a change without its predecessor",
+        Rules(takes_successor_only=False),
+    ),
+    chain_system(
+        "configuration: a host takes an older snapshot",
+        Rules(takes_newer_only=False),
+    ),
+    chain_system(
+        "configuration: an absent change id counts as not accepted",
+        Rules(settles_by_head=False),
+    ),
+]
+
+if __name__ == "__main__":
+    main(SOUND, BROKEN)
--- a/packages/entry/sardinewheel_entry/api/app.py
+++ b/packages/entry/sardinewheel_entry/api/app.py
@@ -4,6 +4,7 @@
 from sardinewheel_core.errors import RequestError
 
 from sardinewheel_entry.api import operators
+from sardinewheel_entry.api.control import ControlResource, DrainsResource
 from sardinewheel_entry.api.histograms import HistogramsResource
 from sardinewheel_entry.api.lookups import LookupResource, LookupsResource
 from sardinewheel_entry.api.outcomes import OutcomeResource
@@ -21,5 +22,7 @@
     app.add_route("/v1/requests/{request_id}", OutcomeResource(driver))
     app.add_route("/v1/histograms", HistogramsResource(driver))
     app.add_route("/v1/services/{service}/requests", RequestsResource(driver))
+    app.add_route("/v1/control", ControlResource(driver))
+    app.add_route("/v1/drains", DrainsResource(driver))
     operators.add_routes(app, driver)
     return app
--- a/packages/testing/sardinewheel_testing/fake_house.py
+++ b/packages/testing/sardinewheel_testing/fake_house.py
@@ -44,6 +44,8 @@
         is_down: Whether calls fail without taking effect.
         lost_answers: Number of transactions to come whose answer is lost
             after they took effect.
+        holds_transactions: Whether transactions get no answer and take effect
+            only once they are released.
     """
 
     def __init__(self):
@@ -51,6 +53,8 @@
         self.objects: dict[str, str] = {}
         self.is_down = False
         self.lost_answers = 0
+        self.holds_transactions = False
+        self.held: list[Transact] = []
 
     def answer(self, effect: Effect) -> Event | None:
         """Returns the event that answers a call, if any."""
@@ -72,9 +76,17 @@
                 return self.transact(effect)
         return None
 
+    def release(self) -> None:
+        """Lets the held transactions arrive."""
+        held, self.held = self.held, []
+        for effect in held:
+            self.transact(effect)
+
     def transact(self, effect: Transact) -> TransactionEnded:
         """Runs a transaction."""
-        if self.is_down:
+        if self.holds_transactions:
+            self.held.append(effect)
+        if self.is_down or self.holds_transactions:
             return TransactionEnded(effect.call_id, False, failed=True)
         wrong = tuple(
             (key, *self.rows.get(key, (0, "")))
--- a/tests/core/test_at_most_once.py
+++ b/tests/core/test_at_most_once.py
@@ -87,6 +87,17 @@
     assert host.allowance.in_flight == 0
 
 
+def test_lost_work_that_may_not_be_repeated_is_sent_once(cluster):
+    cluster.answers_at_once = False
+    arrivals = [cluster.ask("quito-1", ID)]
+    name, dispatch = cluster.open.pop()
+    cluster.end(name, dispatch.attempt_id, Ending.LOST)
+    arrivals += [cluster.ask(name, ID) for name in cluster.hosts]
+    cluster.tick()
+    assert {cluster.outcome(a) for a in arrivals} == {Outcome.UNKNOWN}
+    assert cluster.executions == {ID: 1}
+
+
 def test_repeatable_work_that_was_lost_is_not_called_not_run(cluster):
     cluster.answers_at_once = False
     fields = {"kind": "plain", "repeatable": True}
@@ -185,6 +196,35 @@
     assert cluster.executions == {}
 
 
+def test_a_given_up_id_that_ran_elsewhere_is_not_called_not_run(cluster):
+    table = Table()
+    cluster.ask("quito-1", "order-9", is_first=True)
+    table.run(cluster, answers=False, fails=True)
+    cluster.ask("quito-2", "order-9")
+    cluster.tick(6.0)
+    while cluster.transactions:
+        table.run(cluster)
+    cluster.ask("quito-3", "order-9")
+    while cluster.transactions:
+        table.run(cluster)
+    late = cluster.ask("quito-1", "order-9", is_first=True)
+    assert cluster.outcome(late) is Outcome.UNKNOWN
+
+
+def test_a_claim_of_a_dead_incarnation_never_runs_again(cluster):
+    table = Table()
+    cluster.ask("quito-1", "order-9")
+    table.run(cluster)
+    cluster.kill("quito-1")
+    cluster.start("quito-1", incarnation=2)
+    cluster.introduce()
+    for name in ("quito-1", "quito-2"):
+        arrival = cluster.ask(name, "order-9")
+        table.run(cluster)
+        assert cluster.answers[arrival].reason is Reason.OWNER_GONE
+    assert cluster.executions == {"order-9": 1}
+
+
 def test_one_taken_id_does_not_stop_the_others_of_its_batch(cluster):
     table = Table()
     cluster.ask("quito-2", "order-1")
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -17,6 +17,7 @@
     Message,
     Phase,
 )
+from sardinewheel_core.ticket import Owner
 
 STATE = HostState("a-1", 7, 3, "a", "h", "p", Phase.READY, 2, 0)
 CHANGE = Change(
@@ -61,8 +62,9 @@
 
 def test_fields_of_a_newer_version_are_dropped():
     newer = [*to_compact(STATE)]
-    newer += [*[()] * (len(HostState._fields) + 1 - len(newer)), "new"]
-    newer[HostState._fields.index("successor") + 1] = ""
+    left_out = HostState._fields[len(newer) - 1 :]
+    newer += [HostState._field_defaults[name] for name in left_out]
+    newer.append("new")
     assert from_plain(newer, HostState) == STATE
     assert from_plain({**to_plain(STATE), "new": 1}, HostState) == STATE
 
@@ -109,3 +111,9 @@
     for kind in (Message, Intent, Change):
         with contextlib.suppress(MessageError):
             from_plain(plain, kind)
+
+
+def test_state_that_answers_for_stopped_hosts_survives_the_wire():
+    state = STATE._replace(answers_for=(Owner("quito-1", 7),))
+    assert from_plain(to_compact(state), HostState) == state
+    assert from_plain(to_plain(state), HostState) == state
--- a/tests/core/test_drains.py
+++ b/tests/core/test_drains.py
@@ -30,6 +30,7 @@
     Target,
 )
 from sardinewheel_core.leaving import RETURN_DELAY_S
+from sardinewheel_core.lookup import TTL_S
 from sardinewheel_core.messages import Phase
 from sardinewheel_core.request import Request
 from sardinewheel_testing.fake_house import FakeHouse
@@ -263,3 +264,23 @@
     house.feed("a-1", StopOrdered())
     tick(house, "a-1")
     assert any(isinstance(e, Exit) for e in tick(house, "a-1"))
+
+
+def test_stopping_host_stays_while_callers_with_cached_look_ups_come(house):
+    """Exiting under them would cut requests on new connections."""
+    house.feed("a-1", StopOrdered())
+    exits = []
+    for _ in range(int(TTL_S / 0.1)):
+        number = int(house.now * 10)
+        request = Request(
+            f"r{number}", "pedidos", "status", 1, True, house.now + 5.0
+        )
+        house.feed("a-1", RequestArrived(number, request))
+        house.run(0.1)
+        exits += [e for e in tick(house, "a-1") if isinstance(e, Exit)]
+    assert not exits
+    for exchange in list(house.hosts["a-1"].exchanges):
+        result = AttemptResult(Ending.ANSWERED, 200)
+        house.feed("a-1", AttemptEnded(exchange, result))
+    house.run(stopping.LINGER_S + 1.0)
+    assert any(isinstance(e, Exit) for e in tick(house, "a-1"))
--- a/tests/core/test_proposals.py
+++ b/tests/core/test_proposals.py
@@ -145,3 +145,28 @@
     house.run(2.0)
     assert house.ended[number].state is ProposalState.ACCEPTED
     assert house.ended[far].findings[0].place == "base_version"
+
+
+def test_absent_change_id_is_not_final_while_its_transaction_may_arrive(house):
+    """Counterexample of specs/configuration.py: told no, then accepted."""
+    house.platform.holds_transactions = True
+    number = house.propose("centro-1", "a", SetCap("austro", 50))
+    house.run(3.0)
+    assert number not in house.ended
+    house.platform.holds_transactions = False
+    house.platform.release()
+    house.run(3.0)
+    assert house.ended[number].state is ProposalState.ACCEPTED
+    assert accepted_ids(house) == ["first", "a"]
+
+
+def test_late_transaction_does_not_rewrite_a_version(house):
+    """Counterexample of specs/configuration.py: accepted on any version."""
+    house.platform.holds_transactions = True
+    house.propose("centro-1", "a", SetCap("austro", 50), base_version=1)
+    house.platform.holds_transactions = False
+    house.propose("taller-1", "b", SetCap("austro", 60))
+    house.run(1.0)
+    house.platform.release()
+    house.run(3.0)
+    assert accepted_ids(house) == ["first", "b"]
--- a/tests/core/test_rollout.py
+++ b/tests/core/test_rollout.py
@@ -6,10 +6,11 @@
     MAX_CHANGES_KEPT,
     change_key,
     encode_change,
+    encode_intent,
 )
 from sardinewheel_core.effects import MessageArrived
 from sardinewheel_core.intent import Region
-from sardinewheel_core.messages import ChangesSent, Phase
+from sardinewheel_core.messages import ChangesSent, Phase, SnapshotPart
 from sardinewheel_testing.fake_house import FakeHouse
 
 DOMAINS = ("quito-bodega", "quito-curtiembre")
@@ -155,3 +156,17 @@
     house.run(10.0)
     polled = {n for n, h in house.hosts.items() if h.rollout.reads > before[n]}
     assert len(polled) == 4
+
+
+def test_older_snapshot_is_not_taken():
+    """Counterexample of specs/configuration.py: a host's version falls."""
+    house = started(count=1)
+    name = f"{DOMAINS[0]}-0"
+    older = house.hosts[name].configuration.intent
+    set_caps(house, 2)
+    text = encode_intent(older)
+    part = SnapshotPart(older.version, 0, 1, text)
+    house.feed(name, MessageArrived(f"{DOMAINS[1]}-0", part))
+    configuration = house.hosts[name].configuration
+    assert not configuration.load(older)
+    assert configuration.version == 3
--- /dev/null
+++ b/tests/entry/test_callers_page.py
@@ -0,0 +1,49 @@
+"""Every example of docs/CALLERS.md runs, in order, as it stands there."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.entry.house import House
+
+PAGE = Path(__file__).parents[2] / "docs" / "CALLERS.md"
+PATH = f"{Path(sys.executable).parent}:/usr/bin:/bin"
+EXPECTED = (
+    ('"ticket": "quito-',),
+    ('"answers": [', '"ttl_ms": '),
+    ("HTTP/1.1 200 OK", "Sardinewheel-Outcome: done", "done two saddles"),
+    ("Sardinewheel-Weight", "Sardinewheel-Deadline-Ms", "findings"),
+    ("HTTP/1.1 200 OK", "Sardinewheel-Outcome: done", "done two saddles"),
+    ("Sardinewheel-Outcome: done",),
+)
+
+
+@pytest.fixture
+def house(tmp_path):
+    house = House(tmp_path)
+    try:
+        house.configure()
+        yield house
+    finally:
+        house.stop()
+
+
+def test_examples_run(house):
+    text = PAGE.read_text(encoding="utf-8")
+    examples = re.findall(r"```sh\n(.*?)```", text, re.DOTALL)
+    assert len(examples) == len(EXPECTED)
+    script = "echo; echo ---;".join(examples)
+    done = subprocess.run(
+        ["bash", "-euc", script],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={"ENTRY": house.http["quito-1"], "PATH": PATH},
+    )
+    outputs = done.stdout.split("---")
+    for output, expected in zip(outputs, EXPECTED, strict=True):
+        for part in expected:
+            assert part.lower() in output.lower(), output
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -28,7 +28,7 @@
 
 
 def test_unknown_fields_and_newer_minor_versions_are_tolerated():
-    body = [*to_compact(LoanReturned("r", 1)), "from the future"]
+    body = ["LoanReturned", *LoanReturned("r", 1), "from the future"]
     data = frame(m=7, body=body, future=[1, 2])
     assert peers.decode(data).message == LoanReturned("r", 1)
 
