--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PACKAGES := core entry cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo bench model clean slopes
+.PHONY: setup test lint format demo bench model settings-page clean slopes
 
 setup: $(VENV)/.installed
 
@@ -38,6 +38,9 @@
 	$(BIN)/python -m pytest
 	$(BIN)/behave --format progress
 
+settings-page: setup
+	$(BIN)/python -m sardinewheel_entry.settings_page docs/SETTINGS.md
+
 model: setup
 	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
 
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -167,6 +167,7 @@
         seats.detect_pause(self, now)
         match event:
             case RequestArrived():
+                stopping.on_arrival(self, now)
                 pipeline.on_request(self, now, event)
             case AttemptEnded():
                 pipeline.on_attempt_ended(self, now, event)
