--- a/tests/core/test_allowance_house.py
+++ b/tests/core/test_allowance_house.py
@@ -2,6 +2,8 @@
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from sardinewheel_core.change import DefineSeat, RemoveSeat
+from sardinewheel_core.intent import Seat
 
 from tests.core.loaded_house import CAP, DOMAINS, LoadedHouse
 
@@ -9,7 +11,9 @@
 FAULTS = st.one_of(
     st.tuples(st.sampled_from(["crash", "pause", "wake", "replace"]), NAMES),
     st.tuples(st.sampled_from(["load", "idle"]), NAMES),
-    st.tuples(st.sampled_from(["cut", "platform", "noise"]), st.booleans()),
+    st.tuples(
+        st.sampled_from(["cut", "platform", "noise", "seat"]), st.booleans()
+    ),
 )
 STEPS = st.tuples(FAULTS, st.sampled_from([0.1, 0.5, 2.0, 4.0, 14.0]))
 
@@ -25,6 +29,12 @@
             house.crash(name)
         case "cut", is_cut:
             house.is_cut = lambda a, b: is_cut and a[-3] != b[-3]
+        case "seat", is_there:
+            seat = DefineSeat(Seat("b-1", DOMAINS["b-1"]))
+            operation = seat if is_there else RemoveSeat("b-1")
+            change_id = f"seat-{house.now}"
+            for name in sorted(DOMAINS.keys() & house.hosts.keys())[:1]:
+                house.propose(name, change_id, operation)
         case "platform", is_down:
             house.platform.is_down = is_down
         case "noise", is_noisy:
