--- a/packages/core/sardinewheel_core/decisions.py
+++ b/packages/core/sardinewheel_core/decisions.py
@@ -19,6 +19,9 @@
         "change-refused",
         "outcomes-taken",
         "platform-row-refused",
+        "repair",
+        "seat-held",
+        "seat-paused",
         "snapshot-in-force",
         "snapshot-refused",
     }
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -71,6 +71,7 @@
         dispatched_at: When the attempt under way began.
         forwarded_to: Host of the latest hand-on.
         was_lost: Whether an attempt was lost.
+        is_claimed: Whether the platform's table names this host its owner.
     """
 
     def __init__(self, arrival_id: int, request: Request):
@@ -92,6 +93,7 @@
         self.dispatched_at = 0.0
         self.forwarded_to = ""
         self.was_lost = False
+        self.is_claimed = False
 
     @property
     def is_owned(self) -> bool:
--- a/packages/core/sardinewheel_core/stopping.py
+++ b/packages/core/sardinewheel_core/stopping.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import handover
+from sardinewheel_core import handover, seats
 from sardinewheel_core.effects import Exit, Send
 from sardinewheel_core.messages import Phase
 
@@ -35,24 +35,13 @@
     host.report(now, "leaving", in_flight=len(host.exchanges))
 
 
-def on_superseded(host: "EntryHost", now: float) -> None:
-    """Leaves because a newer incarnation occupies this host's seat."""
-    if not host.is_superseded:
-        host.is_superseded = True
-        host.report(
-            now,
-            "repair",
-            cause="newer incarnation in this seat",
-            effect="stops dispatching and leaves",
-        )
-        on_stop(host, now)
-
-
 def on_tick(host: "EntryHost", now: float) -> None:
     """Exits once nothing is in flight and late arrivals have ceased."""
     if host.phase is Phase.GONE:
         host.emit(Exit())
-    elif host.phase is Phase.LEAVING and _is_idle(host, now):
+        return
+    may_exit = host.phase is Phase.LEAVING and _is_idle(host, now)
+    if may_exit and seats.release(host, now):
         _announce(host, Phase.GONE)
 
 
--- /dev/null
+++ b/tests/entry/house.py
@@ -0,0 +1,162 @@
+"""A small house of real processes: platform, targets and entry hosts."""
+
+import contextlib
+import json
+import socket
+import threading
+
+from sardinewheel_core.change import DefineRegion, DefineSeat, DefineService
+from sardinewheel_core.codec import to_plain
+from sardinewheel_core.intent import Kind, Region, Seat, Service, Target
+from sardinewheel_testing.processes import (
+    entry_host,
+    free_address,
+    http,
+    stand_in,
+    wait_until,
+)
+
+JSON = {"Content-Type": "application/json"}
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+DOMAIN = "quito-bodega"
+KINDS = {
+    "confirm": Kind("confirm", 0, repeatable=False),
+    "status": Kind("status", 1),
+}
+
+
+class ScriptedTarget:
+    """A target that answers each connection with a function of a test.
+
+    Probes are answered with 404 and not counted.
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        self.connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                threading.Thread(
+                    target=self._serve, args=(sock,), daemon=True
+                ).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError):
+            if sock.recv(4, socket.MSG_PEEK) == b"POST":
+                self.connections.append(sock)
+                self.answer(sock, len(self.connections))
+            while sock.recv(65536):
+                sock.sendall(NOT_FOUND)
+
+    def close(self):
+        self.listener.close()
+        for sock in self.connections:
+            sock.close()
+
+
+class House:
+    """Entry hosts by name, one target process, and the platform."""
+
+    def __init__(self, folder, *, hosts=2, slots=4):
+        self.folder = folder
+        self.platform = free_address()
+        self.target = free_address()
+        self.names = [f"quito-{i + 1}" for i in range(hosts)]
+        self.http = {name: free_address() for name in self.names}
+        self.peers = {name: free_address() for name in self.names}
+        self.processes = {
+            "platform": stand_in(
+                "platform", self.platform, log_file=folder / "platform"
+            ),
+            "target": stand_in(
+                "target", self.target, str(slots), log_file=folder / "target"
+            ),
+        }
+        wait_until(lambda: http("GET", self.platform, "/control"))
+        wait_until(lambda: http("GET", self.target, "/health"))
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        settings = {
+            "name": name,
+            "domain": DOMAIN,
+            "http_address": self.http[name],
+            "peer_address": self.peers[name],
+            "platform_address": self.platform,
+            "seeds": list(self.peers.values()),
+        }
+        self.processes[name] = entry_host(settings, folder=self.folder)
+        wait_until(lambda: http("GET", self.http[name], "/v1/status"))
+
+    def configure(self, *, target=None, slots=4):
+        """Defines region, seats and service, and waits until in force."""
+        address = target or self.target
+        service = Service(
+            "pedidos", KINDS, {"t1": Target("t1", DOMAIN, address, slots)}
+        )
+        operations = [
+            DefineRegion(Region("sierra-norte", 40, (DOMAIN,))),
+            *(DefineSeat(Seat(name, DOMAIN)) for name in self.names),
+            DefineService(service),
+        ]
+        plain = [to_plain(operation) for operation in operations]
+        body = json.dumps({"author": "ana", "operations": plain}).encode()
+        address = self.http[self.names[0]]
+        http("POST", address, "/v1/changes", body=body, headers=JSON)
+        wait_until(lambda: all(map(self.is_ready, self.names)))
+
+    def is_ready(self, name):
+        path = "/v1/lookup?service=pedidos"
+        found = http("GET", self.http[name], path).media["hosts"]
+        return len(found) == len(self.names)
+
+    def ticket(self, name):
+        """Returns a current ticket of a host."""
+        path = "/v1/lookup?service=pedidos"
+
+        def find():
+            found = http("GET", self.http[name], path).media["hosts"]
+            return {h["host"]: h["ticket"] for h in found}.get(name)
+
+        return wait_until(find)
+
+    def ask(self, name, request_id="", body=b"x", **fields):
+        """Sends a confirmation to a host; ``fields`` are headers."""
+        headers = {"Sardinewheel-Kind": "confirm"}
+        if request_id:
+            headers["Sardinewheel-Request-Id"] = request_id
+        for key, value in fields.items():
+            headers["Sardinewheel-" + key.replace("_", "-")] = str(value)
+        path = "/v1/services/pedidos/requests"
+        return http("POST", self.http[name], path, body=body, headers=headers)
+
+    def outcome(self, name, request_id, method="GET"):
+        path = f"/v1/requests/{request_id}"
+        return http(method, self.http[name], path)
+
+    def executions(self):
+        return http("GET", self.target, "/executions").media
+
+    def control(self, place, **fields):
+        address = {"platform": self.platform, "target": self.target}[place]
+        body = json.dumps(fields).encode()
+        http("PUT", address, "/control", body=body, headers=JSON)
+
+    def stop(self):
+        for process in reversed(self.processes.values()):
+            process.kill()
+
+
+def outcome_of(reply):
+    return reply.headers.get("sardinewheel-outcome")
+
+
+def reason_of(reply):
+    return reply.headers.get("sardinewheel-reason")
