--- a/packages/cli/sardinewheel_cli/client.py
+++ b/packages/cli/sardinewheel_cli/client.py
@@ -11,7 +11,8 @@
 from sardinewheel_cli.errors import UnreachableError
 
 CONNECT_TIMEOUT_S = 2.0
-ANSWER_TIMEOUT_S = 15.0
+QUERY_TIMEOUT_S = 3.0
+CHANGE_TIMEOUT_S = 15.0
 MAX_CONCURRENT_CALLS = 32
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -49,15 +50,27 @@
     def __init__(self, addresses: tuple[str, ...]):
         self.addresses = list(addresses)
 
-    def get(self, path: str, **parameters: str) -> Reply:
+    def get(
+        self,
+        path: str,
+        *,
+        timeout_s: float = QUERY_TIMEOUT_S,
+        **parameters: str,
+    ) -> Reply:
         """Returns the answer of the first host that answers.
 
+        Args:
+            path: Path of the resource.
+            timeout_s: Seconds to wait for each host.
+            **parameters: Parameters of the query; empty ones are left out.
+
         Raises:
             UnreachableError: No host answered.
         """
         errors = []
         for address in list(self.addresses):
-            reply = call(address, "GET", _path(path, parameters))
+            full = _path(path, parameters)
+            reply = call(address, "GET", full, timeout_s=timeout_s)
             if reply.answered:
                 self.prefer(address)
                 return reply
@@ -82,7 +95,9 @@
         """
         errors = []
         for address in list(self.addresses):
-            reply = call(address, "POST", path, media)
+            reply = call(
+                address, "POST", path, media, timeout_s=CHANGE_TIMEOUT_S
+            )
             if reply.answered or reply.sent:
                 return reply
             errors.append(f"{address}: {reply.error}")
@@ -102,7 +117,14 @@
         self.addresses.insert(0, address)
 
 
-def call(address: str, method: str, path: str, media: Any = None) -> Reply:
+def call(
+    address: str,
+    method: str,
+    path: str,
+    media: Any = None,
+    *,
+    timeout_s: float = QUERY_TIMEOUT_S,
+) -> Reply:
     """Sends one request and returns what came of it."""
     host, _, port = address.rpartition(":")
     body = b"" if media is None else json.dumps(media).encode()
@@ -111,7 +133,7 @@
             host,
             int(port),
             connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=ANSWER_TIMEOUT_S,
+            network_timeout=timeout_s,
         )
     except ValueError as error:
         return Reply(address, error=f"not an address: {error}", sent=False)
--- a/packages/cli/sardinewheel_cli/queries.py
+++ b/packages/cli/sardinewheel_cli/queries.py
@@ -1,5 +1,6 @@
 """Answers the ``show`` queries."""
 
+import urllib.parse
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
     rollouts,
     rooms,
 )
+from sardinewheel_cli.client import CHANGE_TIMEOUT_S
 from sardinewheel_cli.commands import Show
 from sardinewheel_cli.errors import AnswerRefusedError
 from sardinewheel_cli.formatter import format_intent, format_operation
@@ -222,7 +224,8 @@
 
 
 def _change(session: "Session", change_id: str) -> Output:
-    reply = session.client.get(f"/v1/changes/{change_id}")
+    path = f"/v1/changes/{urllib.parse.quote(change_id, safe='')}"
+    reply = session.client.get(path, timeout_s=CHANGE_TIMEOUT_S)
     answer = from_plain(reply.media, ChangeReply)
     text = f"change {change_id}: {answer.state}"
     if answer.version:
--- a/tests/cli/test_cli_processes.py
+++ b/tests/cli/test_cli_processes.py
@@ -1,6 +1,7 @@
 """The operators' command line against real entry hosts, as processes."""
 
 import json
+import signal
 import subprocess
 from concurrent.futures import ThreadPoolExecutor
 
@@ -205,8 +206,16 @@
         assert "as in force on quito-2" in done.stdout
         room = operator.json("show headroom", hosts=("quito-1", "quito-2"))
         assert room["silent"] == ["quito-1"]
+        house.hosts["guayaquil-1"].signal(signal.SIGSTOP)
+        frozen = operator.json(
+            "show headroom", hosts=("guayaquil-1", "quito-2")
+        )
+        assert frozen["silent"] == ["guayaquil-1", "quito-1"]
         wait_until(
-            lambda: operator.json("show rollout")["unseen"] == ["quito-1"]
+            lambda: (
+                operator.json("show rollout", hosts=("quito-2",))["unseen"]
+                == ["guayaquil-1", "quito-1"]
+            )
         )
     finally:
         house.stop()
