--- a/packages/core/sardinewheel_core/decisions.py
+++ b/packages/core/sardinewheel_core/decisions.py
@@ -20,6 +20,8 @@
         "outcomes-taken",
         "platform-row-refused",
         "repair",
+        "seat-held",
+        "seat-paused",
         "snapshot-in-force",
         "snapshot-refused",
     }
