--- a/packages/testing/sardinewheel_testing/experiments.py
+++ b/packages/testing/sardinewheel_testing/experiments.py
@@ -60,7 +60,8 @@
     for target in drained:
         ordered_at[target.name] = time.monotonic()
         if scene.is_product:
-            scene.running.operate("drain", "target", target.name)
+            place = ("target", target.name)
+            scene.running.operate("drain", *place, "--force", "drain-room")
         scene.running.set_targets([target], draining=True)
     for target in drained:
         scene.watch_drain(target, ordered_at[target.name])
