--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -56,9 +56,11 @@
 from sardinewheel_core.outcomes import AttemptLog, OutcomeBook
 from sardinewheel_core.probing import ProbeSchedule
 from sardinewheel_core.queueing import WaitingLine
+from sardinewheel_core.repairs import RepairWatch
 from sardinewheel_core.request import Answer
 from sardinewheel_core.seats import SeatState
 from sardinewheel_core.shares import ShareHistory
+from sardinewheel_core.shift import ShiftBook
 from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
 from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
@@ -95,6 +97,7 @@
         shares: Its share by configuration version.
         loans: Loans that it asked for.
         seat: Its hold on its seat.
+        shifts: What it moves to other regions.
         book: Outcomes of requests that may not be repeated.
         targets: Targets that it dispatches to.
         assignment: How the targets are divided among the hosts.
@@ -107,6 +110,7 @@
         held: Room of lost attempts.
         claims: Ids without a ticket, on their way to the platform's table.
         handover: Records taken from hosts that left, and given when leaving.
+        repairs: What it last saw of others, to report changes.
         stop: How far it has come with leaving.
         is_superseded: Whether a newer incarnation occupies this seat.
         decisions: Latest decisions, to explain them.
@@ -124,6 +128,7 @@
         self.shares = ShareHistory(seat=identity.name, domain=identity.domain)
         self.loans = LoanBook()
         self.seat = SeatState(now=now)
+        self.shifts = ShiftBook(now=now)
         self.book = OutcomeBook(started_at=now)
         self.targets = TargetPool(rng=rng)
         self.assignment = dispatching.Assignment()
@@ -139,6 +144,7 @@
         self.claims = ClaimQueue()
         self.handover = HandoverState()
         self.stop = stopping.StopState()
+        self.repairs = RepairWatch()
         self.is_superseded = False
         self.decisions = DecisionLog()
         self.effects: list[Effect] = []
--- a/packages/core/sardinewheel_core/messages.py
+++ b/packages/core/sardinewheel_core/messages.py
@@ -24,6 +24,13 @@
     GONE = "gone"
 
 
+class Strain(StrEnum):
+    """Why the targets of a service should not get more work for now."""
+
+    COLD = "cold"
+    SHEDDING = "shedding"
+
+
 class HostState(NamedTuple):
     """What an entry host says about itself; others pass it on unchanged.
 
@@ -44,6 +51,9 @@
         drained: Some places that its version drains, as ``subject/name``.
         spare: Weight units that it could lend within its region.
         settled: Version that every seat of its region has reached for good.
+        positions: Pairs of shift and the share of traffic that it moves, per
+            mille.
+        strains: Pairs of service and :class:`Strain` of its targets.
     """
 
     name: str
@@ -62,12 +72,26 @@
     drained: tuple[str, ...] = ()
     spare: int = 0
     settled: int = 0
+    positions: tuple[tuple[str, int], ...] = ()
+    strains: tuple[tuple[str, str], ...] = ()
 
 
 class Heartbeat(NamedTuple):
-    """Host states that the sender heard most recently, its own first."""
+    """What the sender knows of hosts.
+
+    Attributes:
+        states: Some whole states, its own first.
+        beats: Pairs of a host's beat id and its latest beat.
+    """
 
     states: tuple[HostState, ...]
+    beats: tuple[tuple[int, int], ...] = ()
+
+
+class StatesWanted(NamedTuple):
+    """Asks for the whole states that some beat ids stand for."""
+
+    beat_ids: tuple[int, ...]
 
 
 class ChangesWanted(NamedTuple):
@@ -188,6 +212,7 @@
 
 Message = (
     Heartbeat
+    | StatesWanted
     | ChangesWanted
     | ChangesSent
     | SnapshotPart
@@ -200,6 +225,7 @@
 
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
+    StatesWanted,
     ChangesWanted,
     ChangesSent,
     SnapshotPart,
--- a/tests/core/cluster.py
+++ b/tests/core/cluster.py
@@ -70,7 +70,7 @@
             identity=identity, rng=random.Random(incarnation), now=self.now
         )
         self.hosts[name] = host
-        host.rollout.synced = True
+        host.rollout.started_at -= 60.0
         host.allowance.usable_from = self.now
         take_changes(host, self.now, (house(),), "test")
         become_ready(host, self.now)
