--- a/packages/cli/sardinewheel_cli/help.py
+++ b/packages/cli/sardinewheel_cli/help.py
@@ -30,7 +30,7 @@
         "part of a service",
     ),
     ("define block PREFIX in REGION", "assign callers to a region"),
-    ("remove service NAME", ""),
+    ("remove service NAME", "with its shifts"),
     ("remove seat NAME", ""),
     ("set cap REGION N", "weight units in flight at a time"),
     (
@@ -42,11 +42,12 @@
     ("end shift NAME", "forget it at once"),
     ("drain target|host|domain|region NAME [within 30s]", "empty it"),
     ("undrain target|host|domain|region NAME", "let it take work again"),
+    ("help", "this list"),
 )
 OPTIONS = (
     ("--dry-run", "show the effect, change nothing"),
     ("--force PROMISE", "accept that a named promise is strained"),
-    ("--wait", "wait until it is in force on every live host"),
+    ("--wait", "wait until in force on live hosts, and drained places empty"),
     ("--redo", "after a conflict, make it on top of the winning change"),
     ("--base-version N", "refuse unless version N is the latest"),
     ("--json", "print JSON"),
--- a/packages/core/sardinewheel_core/control.py
+++ b/packages/core/sardinewheel_core/control.py
@@ -14,6 +14,7 @@
     repairs,
     rollout,
     seats,
+    shift,
     stopping,
 )
 from sardinewheel_core.effects import (
@@ -58,6 +59,7 @@
     handover.on_tick(host, now)
     host.allowance.share = host.shares.advance(now)
     loans.on_tick(host, now)
+    shift.on_tick(host, now)
     _refresh_own_state(host, now)
     for peer, heartbeat in host.membership.gossip(now):
         host.emit(Send(peer.host, peer.address, heartbeat))
@@ -165,4 +167,6 @@
         drained=drained,
         spare=host.allowance.lendable(now),
         settled=host.shares.settled,
+        positions=host.shifts.positions(),
+        strains=host.targets.strains(now),
     )
--- a/packages/core/sardinewheel_core/host.py
+++ b/packages/core/sardinewheel_core/host.py
@@ -60,6 +60,7 @@
 from sardinewheel_core.request import Answer
 from sardinewheel_core.seats import SeatState
 from sardinewheel_core.shares import ShareHistory
+from sardinewheel_core.shift import ShiftBook
 from sardinewheel_core.snapshots import SnapshotState
 from sardinewheel_core.targets import TargetPool
 from sardinewheel_core.ticket import SEPARATOR, Owner, Ticket
@@ -96,6 +97,7 @@
         shares: Its share by configuration version.
         loans: Loans that it asked for.
         seat: Its hold on its seat.
+        shifts: What it moves to other regions.
         book: Outcomes of requests that may not be repeated.
         targets: Targets that it dispatches to.
         assignment: How the targets are divided among the hosts.
@@ -126,6 +128,7 @@
         self.shares = ShareHistory(seat=identity.name, domain=identity.domain)
         self.loans = LoanBook()
         self.seat = SeatState(now=now)
+        self.shifts = ShiftBook(now=now)
         self.book = OutcomeBook(started_at=now)
         self.targets = TargetPool(rng=rng)
         self.assignment = dispatching.Assignment()
@@ -258,7 +261,10 @@
 
     def line(self, service: str) -> WaitingLine:
         """Returns the waiting line of a service."""
-        return self.lines.setdefault(service, WaitingLine())
+        line = self.lines.get(service)
+        if line is None:
+            line = self.lines[service] = WaitingLine()
+        return line
 
     def waiting(self) -> Iterator[Exchange]:
         """Yields every waiting exchange, most urgent first per service."""
--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -6,7 +6,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from sardinewheel_core import claims, leaving, occupancy, retries, seats
+from sardinewheel_core import (
+    claims,
+    leaving,
+    occupancy,
+    request_decisions,
+    retries,
+    seats,
+)
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.effects import (
     AttemptEnded,
@@ -135,7 +142,8 @@
     elif exchange.was_lost:
         end_unknown(host, now, exchange, result.reason)
     else:
-        finish(host, now, exchange, retries.not_run(host, exchange, result))
+        answer = retries.not_run(host, now, exchange, result)
+        finish(host, now, exchange, answer)
     serve_waiting(host, now)
 
 
@@ -338,6 +346,7 @@
             kind=exchange.request.kind,
             outcome=str(answer.outcome),
             reason=str(reason),
+            **request_decisions.room(host, now, exchange.request.service),
         )
     host.emit(Reply(exchange.arrival_id, answer))
     for arrival in exchange.joined:
--- a/packages/core/sardinewheel_core/retries.py
+++ b/packages/core/sardinewheel_core/retries.py
@@ -4,6 +4,7 @@
 
 from sardinewheel_core.attempt import AttemptResult, Ending
 from sardinewheel_core.exchange import Exchange, Stage
+from sardinewheel_core.filters.refusals import refuse
 from sardinewheel_core.request import Answer, Outcome, Reason, Refusal
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
 
 
 def not_run(
-    host: "EntryHost", exchange: Exchange, result: AttemptResult
+    host: "EntryHost", now: float, exchange: Exchange, result: AttemptResult
 ) -> Answer:
     """Answers an attempt that nobody ran and that is not tried again."""
     is_owner_elsewhere = (
@@ -57,5 +58,7 @@
             Outcome.UNKNOWN,
             reason=Reason.OWNER_UNREACHABLE,
         )
+    if result.retry_after_s == 0.0:
+        return refuse(host, now, exchange, result.reason).answer
     refusal = Refusal(result.reason, result.retry_after_s)
     return Answer(exchange.request.id, Outcome.NOT_RUN, refusal=refusal)
--- a/packages/entry/sardinewheel_entry/api/control.py
+++ b/packages/entry/sardinewheel_entry/api/control.py
@@ -1,10 +1,9 @@
-"""What control costs this host, and how far its drains have come."""
+"""What control costs this host."""
 
 import time
 from typing import NamedTuple
 
 import falcon
-from sardinewheel_core.codec import to_plain
 
 from sardinewheel_entry.driver import Driver
 
@@ -41,15 +40,3 @@
             probes=driver.prober.sent,
         )
         resp.media = view._asdict()
-
-
-class DrainsResource:
-    """``GET /v1/drains``: the drains that this host has a part in."""
-
-    def __init__(self, driver: Driver):
-        self.driver = driver
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answers with how far each has come."""
-        drains = self.driver.host.drain_progress(time.monotonic())
-        resp.media = to_plain(drains)
