--- a/tests/core/test_shift.py
+++ b/tests/core/test_shift.py
@@ -15,6 +15,7 @@
 from sardinewheel_core.messages import Strain
 from sardinewheel_core.request import Reason
 from sardinewheel_core.shift import parts_of
+from sardinewheel_core.stopping import LINGER_S
 
 from tests.core.moving_house import SHIFT, SOURCES, MovingHouse
 
@@ -51,7 +52,7 @@
     house.run(2.0, load=2)
     for _ in range(2):
         house.feed("n-1", StopOrdered())
-        house.run(3.0)
+        house.run(LINGER_S + 0.5)
         house.crash("n-1")
         house.run(3.0, load=2)
     assert house.hosts["n-1"].seat.held_from < house.now
