Book returns only for callers that can come back; hand on from hosts without targets

Cause 1: callers whose deadline came before their booked return kept their place, so at show-opens reads with 2 s left were told to wait 4 to 6 s. Such returns are no longer booked. Cause 2: test_ids_without_a_ticket_run_once failed at times with no-target: a host that owns no target of a service refused when its peers' last announced room was 0. It now hands on to any host with targets; that host keeps the decision.

--- a/packages/core/sardinewheel_core/filters/placement.py
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -6,6 +6,7 @@
 from sardinewheel_core.exchange import Exchange
 from sardinewheel_core.filters.verdict import Continue, Delegate, Verdict
 from sardinewheel_core.messages import HostState
+from sardinewheel_core.ownership import slots_by_host
 from sardinewheel_core.request import Reason
 
 if TYPE_CHECKING:
@@ -26,11 +27,34 @@
         # Peers had less room than they said; it waits here instead.
         return Continue()
     peer = _best_peer(host, now, exchange)
+    if peer is None and host.targets.slots(exchange.request.service) == 0:
+        peer = _any_owner(host, now, exchange)
     if peer is None:
         return Continue()
     return Delegate(peer, Reason.OVERFLOW)
 
 
+def _any_owner(
+    host: "EntryHost", now: float, exchange: Exchange
+) -> HostState | None:
+    """Returns a host with targets, whatever room it last announced.
+
+    Without targets of its own a host cannot keep the request waiting, and
+    what was announced may be out of date.
+    """
+    ready = host.membership.ready(now)
+    service = exchange.request.service
+    slots = slots_by_host(host.configuration.intent, service, ready)
+    owners = [
+        s
+        for s in ready
+        if slots[s.name] > 0
+        and s.name != host.identity.name
+        and s.name not in exchange.refused_by
+    ]
+    return host.rng.choice(owners) if owners else None
+
+
 def _has_room(host: "EntryHost", now: float, exchange: Exchange) -> bool:
     request = exchange.request
     return (
--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -20,7 +20,9 @@
     after = 0.0
     if not exchange.is_overflow:
         # Overflow does not come back here: its sender keeps it or refuses it.
-        after = line.returns.book(now, interval_s, host.rng)
+        after = line.returns.book(
+            now, interval_s, host.rng, deadline=exchange.request.deadline
+        )
     found = host.look_up(now, service=service, block=exchange.request.block)
     names = tuple(e.host for e in found.entries)
     refusal = Refusal(reason, after, names)
--- a/packages/core/sardinewheel_core/returns.py
+++ b/packages/core/sardinewheel_core/returns.py
@@ -21,20 +21,31 @@
     def __init__(self):
         self.next_at = 0.0
 
-    def book(self, now: float, interval_s: float, rng: random.Random) -> float:
+    def book(
+        self,
+        now: float,
+        interval_s: float,
+        rng: random.Random,
+        *,
+        deadline: float,
+    ) -> float:
         """Books a return and returns the seconds until then.
 
+        A caller whose deadline is earlier will not come back, so nothing is
+        booked for it.
+
         Args:
             now: Time on the monotonic clock, in seconds.
             interval_s: Seconds in which one request's room becomes free.
             rng: Source of the jitter.
+            deadline: Instant after which the caller has no use for an answer.
         """
-        earliest = now + MIN_RETRY_AFTER_S
+        at = max(now + MIN_RETRY_AFTER_S, self.next_at + interval_s)
         latest = now + MAX_RETRY_AFTER_S
-        self.next_at = max(earliest, self.next_at + interval_s)
-        if self.next_at > latest:
+        if at > latest:
             # The schedule is full: spread over its second half.
-            self.next_at = latest
             return MAX_RETRY_AFTER_S * (1 - JITTER * rng.random())
+        if at <= deadline:
+            self.next_at = at
         jitter = interval_s * JITTER * rng.random()
-        return self.next_at - now + jitter
+        return at - now + jitter
