--- a/packages/core/sardinewheel_core/filters/refusals.py
+++ b/packages/core/sardinewheel_core/filters/refusals.py
@@ -20,7 +20,7 @@
     after = 0.0
     if not exchange.is_overflow:
         # Overflow does not come back here: its sender keeps it or refuses it.
-        after = line.returns[exchange.priority].book(
+        after = line.returns.book(
             now, interval_s, host.rng, deadline=exchange.request.deadline
         )
     found = host.look_up(now, service=service, block=exchange.request.block)
--- a/packages/core/sardinewheel_core/queueing.py
+++ b/packages/core/sardinewheel_core/queueing.py
@@ -4,7 +4,7 @@
 cannot is refused at once, with the time after which there should be room.
 """
 
-from collections import Counter, defaultdict, deque
+from collections import Counter, deque
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -29,8 +29,7 @@
         in_flight: Dispatched requests by priority.
         executions: What is known of the duration of executions.
         turns: Exchanges taken out to be served so far.
-        returns: When refused callers come back, by priority, so that less
-            urgent work does not push back the returns of more urgent work.
+        returns: When refused callers come back.
         budget: Retries that may be made.
     """
 
@@ -39,9 +38,7 @@
         self.in_flight: Counter[int] = Counter()
         self.executions = ServiceTime()
         self.turns = 0
-        self.returns: defaultdict[int, ReturnSchedule] = defaultdict(
-            ReturnSchedule
-        )
+        self.returns = ReturnSchedule()
         self.budget = RetryBudget()
 
     def __len__(self) -> int:
