--- a/packages/testing/sardinewheel_testing/target.py
+++ b/packages/testing/sardinewheel_testing/target.py
@@ -62,7 +62,9 @@
             found = self.target.cancel(request_id)
             resp.status = falcon.HTTP_204 if found else falcon.HTTP_404
             return
-        body = req.bounded_stream.read()
+        is_chunked = req.get_header("Transfer-Encoding") is not None
+        stream = req.stream if is_chunked else req.bounded_stream
+        body = stream.read()
         ending = self.target.execute(self._work(req, request_id))
         if not behaviour.plain:
             resp.set_header(headers.REQUEST_ID, request_id)
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection
 
 import pytest
 from sardinewheel_testing.processes import http, wait_until
@@ -178,3 +179,20 @@
         for h in found["histograms"]
     }
     assert ("pedidos", "confirm", 4, "done") in classes
+
+
+def test_a_large_chunked_body_passes_whole(house):
+    host, port = house.http["quito-1"].split(":")
+    connection = HTTPConnection(host, int(port), timeout=15)
+    parts = (LARGE[i : i + 100_000] for i in range(0, len(LARGE), 100_000))
+    connection.request(
+        "POST",
+        "/v1/services/pedidos/requests",
+        body=parts,
+        headers={"Transfer-Encoding": "chunked"},
+        encode_chunked=True,
+    )
+    reply = connection.getresponse()
+    assert reply.getheader("Sardinewheel-Outcome") == "done"
+    assert reply.read() == b"done " + LARGE
+    connection.close()
