--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 EXPERIMENTS ?=
 SEED ?= 7
 SCALE ?= 0.15
-PACKAGES := core entry cli testing
+PACKAGES := core entry gateway cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
 .PHONY: setup test lint format demo bench bench-path model settings-page clean slopes
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/http_client.py
@@ -0,0 +1,332 @@
+"""HTTP/1.1 towards targets and the store: one exchange, sent once.
+
+Nothing here repeats a request. Each outcome says whether bytes left, so that
+the caller of this module can decide.
+"""
+
+import socket as std_socket
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+import gevent
+import h11
+from gevent import socket
+
+from sardinewheel_gateway import clock
+from sardinewheel_gateway.errors import AnswerLostError, NotSentError
+from sardinewheel_gateway.messages import Headers, value_of
+
+READ_BLOCK_BYTES = 64 * 1024
+MAX_KEPT_BODY_BYTES = 64 * 1024
+MAX_FOREIGN_ANSWERS = 2
+UNACKNOWLEDGED_TIMEOUT_MS = 1500
+KEEP_ALIVE_MARGIN_S = 1.0
+DEFAULT_KEEP_ALIVE_S = 4.0
+SHORT_KEEP_ALIVE_S = 0.4
+MAX_IDLE_PER_ADDRESS = 32
+FIRST_FINAL_STATUS = 200
+
+
+class Outgoing(NamedTuple):
+    """A request to send.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers, ``Host`` among them.
+        body: The whole body, or its parts.
+        is_chunked: Whether the body is sent in parts of unknown number.
+    """
+
+    method: bytes
+    path: bytes
+    headers: Headers
+    body: bytes | Iterable[bytes] = b""
+    is_chunked: bool = False
+
+
+class Incoming(NamedTuple):
+    """An answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers, names in lower case.
+        body: The whole body, or its beginning.
+        rest: Yields what follows, of a body that is too large to keep.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    rest: Iterator[bytes] | None = None
+
+
+class IdleConnection(NamedTuple):
+    """A connection that waits for its next use."""
+
+    sock: socket.socket
+    since: float
+    until: float
+
+
+class ConnectionPool:
+    """Idle connections by key, the newest used first."""
+
+    def __init__(self):
+        self.idle: dict[str, list[IdleConnection]] = {}
+
+    def take(self, key: str, *, max_idle_s: float) -> socket.socket | None:
+        """Returns an open connection that wasn't idle for too long."""
+        stack = self.idle.get(key)
+        now = clock.steady()
+        while stack:
+            kept = stack.pop()
+            is_fresh = now < kept.until and now - kept.since <= max_idle_s
+            if is_fresh and _is_quiet(kept.sock):
+                return kept.sock
+            kept.sock.close()
+        return None
+
+    def put(self, key: str, sock: socket.socket, *, keep_s: float) -> None:
+        """Keeps a connection for later use."""
+        now = clock.steady()
+        stack = self.idle.setdefault(key, [])
+        if len(stack) >= MAX_IDLE_PER_ADDRESS:
+            stack.pop(0).sock.close()
+        stack.append(IdleConnection(sock, now, now + keep_s))
+
+    def drop(self, key: str) -> None:
+        """Closes the idle connections of a key."""
+        for kept in self.idle.pop(key, ()):
+            kept.sock.close()
+
+    def expire(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = clock.steady()
+        for key, stack in list(self.idle.items()):
+            kept = [x for x in stack if now < x.until]
+            for old in stack:
+                if now >= old.until:
+                    old.sock.close()
+            if kept:
+                self.idle[key] = kept
+            else:
+                del self.idle[key]
+
+
+def connect(address: str, *, timeout_s: float) -> socket.socket:
+    """Opens a connection.
+
+    Raises:
+        NotSentError: It could not be opened in time.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+    except (OSError, ValueError) as error:
+        raise NotSentError(str(error) or repr(error)) from error
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
+    return sock
+
+
+def _is_quiet(sock: socket.socket) -> bool:
+    """Says whether nothing, not even the end, waits on an idle socket."""
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1, std_socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(None)
+    return False
+
+
+class ClientExchange:
+    """Sends one request on a connection and reads the answer to it.
+
+    Attributes:
+        sock: The connection; whoever made the exchange closes it.
+        is_reusable: Whether the connection may carry another request.
+        keep_s: Seconds for which the other side keeps it open.
+        has_sent: Whether bytes may have left.
+        is_streaming: Whether a part of the answer is still to be read.
+    """
+
+    def __init__(
+        self, sock: socket.socket, is_answer: Callable[[Headers], bool]
+    ):
+        self.sock = sock
+        self.is_answer = is_answer
+        self.parser = h11.Connection(h11.CLIENT)
+        self.is_reusable = False
+        self.has_sent = False
+        self.is_streaming = False
+        self.request_is_complete = False
+        self.keep_s = DEFAULT_KEEP_ALIVE_S
+        self.sender: gevent.Greenlet | None = None
+
+    def run(self, outgoing: Outgoing) -> Incoming:
+        """Returns the answer.
+
+        Raises:
+            AnswerLostError: No whole answer came.
+        """
+        self._send(outgoing)
+        try:
+            head = self._read_head(outgoing)
+            return self._read_answer(head)
+        except h11.RemoteProtocolError as error:
+            raise AnswerLostError(str(error)) from error
+        except OSError as error:
+            raise AnswerLostError(str(error)) from error
+
+    def close(self) -> None:
+        """Ends the connection and the sending."""
+        if self.sender is not None:
+            self.sender.kill(block=False)
+        self.sock.close()
+
+    def _send(self, outgoing: Outgoing) -> None:
+        request = h11.Request(
+            method=outgoing.method,
+            target=outgoing.path,
+            headers=outgoing.headers,
+        )
+        data = self.parser.send(request)
+        self.has_sent = True
+        if outgoing.is_chunked:
+            self._write(data)
+            self.sender = gevent.spawn(self._send_parts, outgoing.body)
+            return
+        if outgoing.body:
+            data += self.parser.send(h11.Data(data=outgoing.body))
+        data += self.parser.send(h11.EndOfMessage())
+        self._write(data)
+        self.request_is_complete = True
+
+    def _send_parts(self, parts: Iterable[bytes]) -> None:
+        try:
+            for part in parts:
+                self.sock.sendall(self.parser.send(h11.Data(data=part)))
+            self.sock.sendall(self.parser.send(h11.EndOfMessage()))
+            self.request_is_complete = True
+        except Exception:
+            # The reader of the answer reports the broken connection.
+            self.sock.close()
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self.sock.sendall(data)
+        except OSError as error:
+            raise AnswerLostError(str(error)) from error
+
+    def _read_head(self, outgoing: Outgoing) -> h11.Response:
+        """Returns the head of the answer; passes over foreign answers."""
+        for _ in range(MAX_FOREIGN_ANSWERS + 1):
+            head = self._next_response()
+            if self.is_answer(list(head.headers)):
+                return head
+            for _ in self._parts():
+                pass
+            self._continue_after_foreign(outgoing)
+        raise AnswerLostError("answers of other requests came instead")
+
+    def _continue_after_foreign(self, outgoing: Outgoing) -> None:
+        if not self.request_is_complete:
+            raise AnswerLostError("an answer of another request came")
+        if self.parser.their_state is not h11.DONE:
+            raise AnswerLostError("closed after another request's answer")
+        rest, has_ended = self.parser.trailing_data
+        self.parser = h11.Connection(h11.CLIENT)
+        self.parser.send(
+            h11.Request(
+                method=outgoing.method, target=b"/", headers=[(b"host", b"-")]
+            )
+        )
+        self.parser.send(h11.EndOfMessage())
+        if rest:
+            self.parser.receive_data(rest)
+        if has_ended:
+            self.parser.receive_data(b"")
+
+    def _next_response(self) -> h11.Response:
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise AnswerLostError("closed before an answer")
+
+    def _next_event(self):
+        while True:
+            event = self.parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.parser.receive_data(self.sock.recv(READ_BLOCK_BYTES))
+
+    def _parts(self) -> Iterator[bytes]:
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise AnswerLostError("closed before the answer ended")
+
+    def _read_answer(self, head: h11.Response) -> Incoming:
+        headers = list(head.headers)
+        parts = self._parts()
+        body = bytearray()
+        for part in parts:
+            body += part
+            if len(body) > MAX_KEPT_BODY_BYTES:
+                self.is_streaming = True
+                rest = self._rest(parts, headers)
+                return Incoming(head.status_code, headers, bytes(body), rest)
+        self._ended(headers)
+        return Incoming(head.status_code, headers, bytes(body))
+
+    def _rest(
+        self, parts: Iterator[bytes], headers: Headers
+    ) -> Iterator[bytes]:
+        try:
+            yield from parts
+        except (h11.RemoteProtocolError, OSError) as error:
+            raise AnswerLostError(str(error)) from error
+        self.is_streaming = False
+        self._ended(headers)
+
+    def _ended(self, headers: Headers) -> None:
+        """Decides whether the connection can be used again."""
+        parser = self.parser
+        is_done = parser.their_state is h11.DONE
+        has_more = is_done and any(parser.trailing_data)
+        self.is_reusable = (
+            is_done
+            and parser.our_state is h11.DONE
+            and self.request_is_complete
+            and not has_more
+        )
+        self.keep_s = keep_alive_s(value_of(headers, b"keep-alive"))
+
+
+def keep_alive_s(value: bytes | None) -> float:
+    """Returns how long a connection may be kept, by ``Keep-Alive``.
+
+    Examples:
+        >>> keep_alive_s(b"timeout=5, max=100")
+        4.0
+    """
+    for part in (value or b"").split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            seconds = int(number) - KEEP_ALIVE_MARGIN_S
+            return max(SHORT_KEEP_ALIVE_S, seconds)
+    return DEFAULT_KEEP_ALIVE_S
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/messages.py
@@ -0,0 +1,77 @@
+"""HTTP messages as the gateway handles them."""
+
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+
+
+class RequestHead(NamedTuple):
+    """Request line and headers.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query as the caller sent them.
+        host: Value of the ``Host`` header.
+        headers: All headers, names in lower case.
+        received_at: When the head was complete, on the steady clock.
+    """
+
+    method: bytes
+    path: bytes
+    host: bytes
+    headers: Headers
+    received_at: float
+
+
+def value_of(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first value of a header, or nothing.
+
+    Examples:
+        >>> value_of([(b"host", b"a")], b"host")
+        b'a'
+    """
+    return next((value for key, value in headers if key == name), None)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the headers that don't concern one connection only."""
+    listed = {
+        token.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | listed
+    return [(key, value) for key, value in headers if key not in dropped]
+
+
+def cookie_value(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the value of a cookie, or nothing.
+
+    Examples:
+        >>> cookie_value([(b"cookie", b"a=1; b=2")], b"b")
+        b'2'
+    """
+    for key, value in headers:
+        if key != b"cookie":
+            continue
+        for pair in value.split(b";"):
+            found, _, content = pair.strip().partition(b"=")
+            if found == name:
+                return content
+    return None
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway: no sockets, no clock, no global random numbers."""
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/beliefs.py
@@ -0,0 +1,159 @@
+"""All that a host believes: what is in force, its targets and their state."""
+
+import random
+from typing import NamedTuple
+
+from sardinewheel_gateway.policy.cold import ColdAdmission, ColdBound
+from sardinewheel_gateway.policy.loads import LoadBook, ReportedLoad
+from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
+from sardinewheel_gateway.policy.routes import (
+    Configuration,
+    Route,
+    RouteTable,
+    SplitChooser,
+)
+from sardinewheel_gateway.policy.targets import Fleet, Target
+
+
+class Bounds(NamedTuple):
+    """Bounds that hold over all hosts together."""
+
+    retries: RetryBound
+    cold: ColdBound
+
+
+class TargetAnswer(NamedTuple):
+    """What an answer says of its target."""
+
+    was_executed: bool
+    is_other_target: bool
+    load: ReportedLoad | None
+
+
+class Beliefs:
+    """What a host decides with.
+
+    Attributes:
+        configuration: The configuration in force, if any is known.
+        fleet: The targets.
+        loads: How busy and healthy they are.
+        placer: Places requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        bounds: Bounds,
+        regions: dict[str, str],
+        rng: random.Random,
+    ):
+        self.bounds = bounds
+        self.configuration: Configuration | None = None
+        self.table = RouteTable(())
+        self.splits = SplitChooser()
+        self.fleet = Fleet()
+        self.loads = LoadBook()
+        self.cold = ColdAdmission(host, bounds.cold)
+        self.budgets: dict[str, RetryBudget] = {}
+        self.least_urgent: dict[str, int] = {}
+        self.hosts = 1
+        self.placer = Placer(
+            fleet=self.fleet,
+            loads=self.loads,
+            cold=self.cold,
+            regions=regions,
+            rng=rng,
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    def configure(self, configuration: Configuration) -> bool:
+        """Takes a configuration if it is newer; says whether it was."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.table = RouteTable(configuration.routes)
+        self.splits.keep(configuration.routes)
+        for name, service in configuration.services.items():
+            self.fleet.cold_periods_s[name] = service.cold_period_s
+            self.placer.cold_rates[name] = service.cold_rate_per_s
+        self._rank(configuration.routes)
+        return True
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Returns the route of a request."""
+        return self.table.find(host, path)
+
+    def choose_service(self, route: Route) -> str:
+        """Returns the service that takes the next request of a route."""
+        return self.splits.choose(route)
+
+    def is_urgent(self, route: Route, service: str) -> bool:
+        """Says whether a service also has requests of a lower rank."""
+        return route.priority < self.least_urgent.get(service, 0)
+
+    def requested(self, service: str, now: float) -> None:
+        """Counts a request for the retry budget of a service."""
+        self._budget(service).requested(now)
+
+    def may_retry(self, service: str, now: float) -> bool:
+        """Says whether a retry may be sent, and counts it if so."""
+        return self._budget(service).grant(now)
+
+    def dispatched(self, target: Target, now: float) -> None:
+        """Notes that a request is sent to a target."""
+        self.cold.dispatched(target.record.target_id, now)
+
+    def answered(
+        self,
+        target: Target,
+        route: Route,
+        answer: TargetAnswer,
+        *,
+        is_error: bool,
+        took_s: float,
+        now: float,
+    ) -> None:
+        """Learns from a target's answer."""
+        load = self.loads.of(target.record.target_id)
+        if answer.is_other_target:
+            load.failed(now=now)
+            return
+        load.answered(is_error=is_error)
+        if answer.load is not None:
+            load.report(answer.load, now=now)
+
+    def target_failed(self, target: Target, now: float) -> None:
+        """Learns that a target can't be reached or broke off."""
+        self.loads.of(target.record.target_id).failed(now=now)
+
+    def set_hosts(self, names: tuple[str, ...]) -> None:
+        """Sets the hosts that share the bounds."""
+        self.hosts = len(names)
+        self.cold.set_hosts(names)
+        for budget in self.budgets.values():
+            budget.hosts = self.hosts
+
+    def forget_target(self, target_id: str) -> None:
+        """Forgets a target that has gone or restarted."""
+        self.loads.forget(target_id)
+        self.cold.forget(target_id)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RetryBudget(self.bounds.retries)
+            budget.hosts = self.hosts
+        return budget
+
+    def _rank(self, routes: tuple[Route, ...]) -> None:
+        self.least_urgent.clear()
+        for route in routes:
+            for share in route.shares:
+                lowest = self.least_urgent.get(share.service, route.priority)
+                self.least_urgent[share.service] = max(lowest, route.priority)
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/cold.py
@@ -0,0 +1,90 @@
+"""Bounds what a cold target gets from all hosts together.
+
+Only few hosts, its warmers, send to a cold target. They follow from the
+target's id and the hosts that are known, so no host asks another, and each
+keeps to its part of the bound. The rest is left for hosts that know other
+members, since then there are more warmers.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from sardinewheel_gateway.policy import ranking
+
+WARMERS = 2
+DISAGREEMENT = 2
+WINDOW_S = 1.1
+
+
+class ColdBound(NamedTuple):
+    """What a cold target may get in any second, from all hosts.
+
+    Attributes:
+        excess: Factor on the rate that the target bears.
+        slack: Requests on top.
+    """
+
+    excess: float
+    slack: float
+
+
+class ColdAdmission:
+    """Admits requests to cold targets.
+
+    Attributes:
+        host: Name of this host.
+        bound: What a cold target may get.
+        hosts: Names of all hosts that are known.
+    """
+
+    def __init__(self, host: str, bound: ColdBound):
+        self.host = host
+        self.bound = bound
+        self.hosts: tuple[str, ...] = (host,)
+        self.sent: dict[str, deque[float]] = {}
+        self.warmers: dict[str, bool] = {}
+
+    def set_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Sets the hosts that may be warmers."""
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self.warmers.clear()
+
+    def admits(self, target_id: str, rate_per_s: float, now: float) -> bool:
+        """Says whether this host may send a request to a cold target now.
+
+        Args:
+            target_id: The target.
+            rate_per_s: Requests a second that it bears.
+            now: Seconds of the steady clock.
+        """
+        if not self._is_warmer(target_id):
+            return False
+        sent = self.sent.get(target_id)
+        if sent is None:
+            return True
+        while sent and now - sent[0] > WINDOW_S:
+            sent.popleft()
+        return len(sent) < self._part(rate_per_s)
+
+    def dispatched(self, target_id: str, now: float) -> None:
+        """Notes that a request was sent to a target that may be cold."""
+        sent = self.sent.setdefault(target_id, deque(maxlen=64))
+        sent.append(now)
+
+    def forget(self, target_id: str) -> None:
+        """Forgets a target that has gone."""
+        self.sent.pop(target_id, None)
+        self.warmers.pop(target_id, None)
+
+    def _part(self, rate_per_s: float) -> int:
+        total = rate_per_s * self.bound.excess + self.bound.slack
+        return max(1, int(total / (WARMERS * DISAGREEMENT)))
+
+    def _is_warmer(self, target_id: str) -> bool:
+        is_warmer = self.warmers.get(target_id)
+        if is_warmer is None:
+            order = ranking.ranked(target_id, self.hosts)
+            is_warmer = self.host in order[:WARMERS]
+            self.warmers[target_id] = is_warmer
+        return is_warmer
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -0,0 +1,113 @@
+"""Which other hosts run, from their heartbeats."""
+
+from typing import NamedTuple
+
+SILENCE_S = 3.5
+FORGET_S = 60.0
+
+
+class HostState(NamedTuple):
+    """What a host says of itself in each heartbeat.
+
+    Attributes:
+        name: Name of the host.
+        incarnation: Start of its process; higher ones are newer.
+        sequence: Counts its heartbeats.
+        front: ``host:port`` where callers send requests.
+        gossip: ``host:port`` where heartbeats go.
+        domain: Its failure domain.
+        region: Its region.
+        is_ready: Whether callers may be sent to it.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    front: str
+    gossip: str
+    domain: str
+    region: str
+    is_ready: bool
+
+
+class Peer(NamedTuple):
+    """Another host and when it was last heard of."""
+
+    state: HostState
+    heard_at: float
+
+
+class HostBook:
+    """All hosts that are known.
+
+    Attributes:
+        own: State of this host.
+        peers: Other hosts, by name.
+    """
+
+    def __init__(self, own: HostState):
+        self.own = own
+        self.peers: dict[str, Peer] = {}
+
+    def hear(self, state: HostState, *, now: float) -> bool:
+        """Takes a heartbeat; says whether it is of a new or changed host."""
+        if state.name == self.own.name:
+            return False
+        known = self.peers.get(state.name)
+        if known is not None and _is_older(state, known.state):
+            return False
+        self.peers[state.name] = Peer(state, now)
+        if known is None or now - known.heard_at > SILENCE_S:
+            return True
+        return known.state._replace(sequence=0) != state._replace(sequence=0)
+
+    def introduce(self, state: HostState, *, now: float) -> bool:
+        """Takes word of a host that was not heard from directly."""
+        if state.name == self.own.name or state.name in self.peers:
+            return False
+        self.peers[state.name] = Peer(state, now - SILENCE_S)
+        return True
+
+    def expire(self, *, now: float) -> None:
+        """Forgets hosts that have long been silent."""
+        gone = [
+            name
+            for name, peer in self.peers.items()
+            if now - peer.heard_at > FORGET_S
+        ]
+        for name in gone:
+            del self.peers[name]
+
+    def live(self, *, now: float) -> list[HostState]:
+        """Returns this host and all that were heard from lately."""
+        heard = [
+            peer.state
+            for peer in self.peers.values()
+            if now - peer.heard_at < SILENCE_S
+        ]
+        return [self.own, *heard]
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of all known hosts, also silent ones."""
+        return tuple(sorted((self.own.name, *self.peers)))
+
+
+def _is_older(state: HostState, known: HostState) -> bool:
+    order = (state.incarnation, state.sequence)
+    return order <= (known.incarnation, known.sequence)
+
+
+def entry_hosts(
+    hosts: list[HostState], *, region: str, limit: int
+) -> list[str]:
+    """Returns where callers of a region should send requests.
+
+    Args:
+        hosts: Live hosts.
+        region: Region of the caller.
+        limit: Addresses to return at most.
+    """
+    ready = [host for host in hosts if host.is_ready]
+    near = [host for host in ready if host.region == region]
+    chosen = sorted(near or ready, key=lambda host: host.name)
+    return [host.front for host in chosen[:limit]]
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -0,0 +1,188 @@
+"""Chooses the target of a request, or refuses it at once.
+
+Answers a load in which an object's requests are three times as cheap at a
+target that knows the object. Waiting for that target beats another until its
+queue is about as long as a second execution; a request that would wait longer
+than callers do at both is refused while it costs nothing.
+"""
+
+import random
+from typing import NamedTuple
+
+from sardinewheel_gateway.policy.cold import ColdAdmission
+from sardinewheel_gateway.policy.loads import LoadBook
+from sardinewheel_gateway.policy.objects import ObjectMap
+from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.policy.targets import Fleet, Target
+
+SPILL_LOAD = 1.34
+FULL_LOAD = 2.0
+URGENT_FULL_LOAD = 3.0
+ERROR_SHARE_LIMIT = 0.35
+MIN_RETURN_S = 0.1
+MAX_RETURN_S = 1.0
+RETURN_JITTER = 0.5
+NO_TARGET_RETURN_S = 0.5
+
+
+class Ask(NamedTuple):
+    """What is known of a request that needs a target.
+
+    Attributes:
+        service: Service that executes it.
+        route: Its route.
+        object_key: Object that it concerns, or an empty text.
+        is_urgent: Whether a more urgent rank than others of its service.
+        tried: Ids of targets that it was already sent to.
+    """
+
+    service: str
+    route: Route
+    object_key: str
+    is_urgent: bool
+    tried: frozenset[str] = frozenset()
+
+
+class Placed(NamedTuple):
+    """The target of a request, and what decided it.
+
+    Attributes:
+        target: The target.
+        load: Requests that it probably held, relative to its slots.
+        choice: Which rank of the object's targets it was.
+    """
+
+    target: Target
+    load: float
+    choice: str
+
+
+class Refused(NamedTuple):
+    """No target has room; the request has not run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: Seconds after which the caller may come back.
+        load: Load of the best target relative to its slots, if any.
+    """
+
+    reason: str
+    retry_after_s: float
+    load: float = 0.0
+
+
+class Placer:
+    """Places requests.
+
+    Attributes:
+        fleet: The targets.
+        loads: How busy they are.
+        cold: Admission of cold targets.
+        maps: Objects by service.
+        regions: Region of each failure domain.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        loads: LoadBook,
+        cold: ColdAdmission,
+        regions: dict[str, str],
+        rng: random.Random,
+    ):
+        self.fleet = fleet
+        self.loads = loads
+        self.cold = cold
+        self.regions = regions
+        self.rng = rng
+        self.maps: dict[str, ObjectMap] = {}
+        self.cold_rates: dict[str, float] = {}
+
+    def place(self, ask: Ask, now: float) -> Placed | Refused:
+        """Returns the target for a request."""
+        usable = self._usable(ask)
+        if not usable:
+            return Refused("no-target", self._return_s(NO_TARGET_RETURN_S))
+        candidates = self._candidates(ask, usable, now)
+        if not candidates:
+            return Refused("targets-down", self._return_s(NO_TARGET_RETURN_S))
+        first = candidates[0]
+        if first.load < SPILL_LOAD or len(candidates) == 1:
+            best = first
+        else:
+            best = min(candidates, key=lambda placed: placed.load)
+        if best.load >= (URGENT_FULL_LOAD if ask.is_urgent else FULL_LOAD):
+            wait_s = (best.load - FULL_LOAD + 1.0) * ask.route.objective_s / 4
+            return Refused("overload", self._return_s(wait_s), best.load)
+        return best
+
+    def object_map(self, service: str) -> ObjectMap:
+        """Returns the objects of a service."""
+        found = self.maps.get(service)
+        if found is None:
+            found = self.maps[service] = ObjectMap()
+        return found
+
+    def _usable(self, ask: Ask) -> list[Target]:
+        usable = self.fleet.usable(ask.service)
+        homes = ask.route.home_regions
+        if not homes:
+            return usable
+        return [
+            target
+            for target in usable
+            if self.regions.get(target.record.domain) in homes
+        ]
+
+    def _candidates(
+        self, ask: Ask, usable: list[Target], now: float
+    ) -> list[Placed]:
+        """Returns up to two targets that may be used, the preferred first."""
+        by_id = {target.record.target_id: target for target in usable}
+        preferred = self._preferred(ask, tuple(by_id))
+        found = self._open(preferred, by_id, ask, now)
+        if found:
+            return found
+        rest = [x for x in by_id if x not in preferred]
+        self.rng.shuffle(rest)
+        others = self._open(rest, by_id, ask, now)
+        return sorted(others, key=lambda placed: placed.load)[:1]
+
+    def _preferred(self, ask: Ask, ids: tuple[str, ...]) -> list[str]:
+        if not ask.object_key:
+            return self.rng.sample(ids, min(2, len(ids)))
+        chosen = self.object_map(ask.service).preference(ask.object_key, ids)
+        return [x for x in chosen or () if x is not None]
+
+    def _open(
+        self,
+        ids: list[str],
+        by_id: dict[str, Target],
+        ask: Ask,
+        now: float,
+    ) -> list[Placed]:
+        """Returns those targets that may get this request now."""
+        found = []
+        for rank, target_id in enumerate(ids):
+            target = by_id[target_id]
+            load = self.loads.of(target_id)
+            if target_id in ask.tried or load.is_down(now):
+                continue
+            if load.error_share > ERROR_SHARE_LIMIT and rank == 0:
+                continue
+            if not self._admits_cold(target, now):
+                continue
+            relative = load.estimate(now) / max(1, target.record.slots)
+            found.append(Placed(target, relative, f"rank-{rank}"))
+        return found
+
+    def _admits_cold(self, target: Target, now: float) -> bool:
+        if not target.is_cold(now):
+            return True
+        rate = self.cold_rates.get(target.record.service, 0.0)
+        return self.cold.admits(target.record.target_id, rate, now)
+
+    def _return_s(self, wait_s: float) -> float:
+        spread = 1.0 + RETURN_JITTER * self.rng.random()
+        return max(MIN_RETURN_S, min(MAX_RETURN_S, wait_s * spread))
