--- a/packages/gateway/sardinewheel_gateway/metrics.py
+++ b/packages/gateway/sardinewheel_gateway/metrics.py
@@ -73,7 +73,9 @@
     name = f"{PREFIX}request_seconds"
     lines = []
     total = 0
-    for bound, count in zip((*BUCKETS_S, "+Inf"), histogram.counts, strict=True):
+    for bound, count in zip(
+        (*BUCKETS_S, "+Inf"), histogram.counts, strict=True
+    ):
         total += count
         lines.append(f'{name}_bucket{{{labels},le="{bound}"}} {total}')
     lines.append(f"{name}_sum{{{labels}}} {histogram.sum_s:.6f}")
