Test the gateway and the adapter without the bench; tell 413 and reasons apart

Found by the tests: a body sent in chunks beyond the limit ended as 502 once a target had begun to read it, and a streamed body would have been sent again from its rest after a lost answer. Answers carry a reason phrase.

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -391,7 +391,8 @@
                 has_failed = len(self.unreachable) >= MAX_CONNECT_FAILURES
                 return has_failed or not can_resend
             case Lost():
-                return is_spent or not self.route.is_idempotent
+                can_repeat = self.route.is_idempotent and can_resend
+                return is_spent or not can_repeat
             case Answered(incoming, verdict, _, _):
                 if not verdict.was_executed:
                     return is_spent or not can_resend
@@ -411,6 +412,8 @@
                 self._pass_on(attempt)
             case NotSent(reason):
                 self._refuse(Refused(reason, LOW_TIME_RETURN_S), None)
+            case Lost() if self.exchange.body_is_too_large:
+                self._fail(TOO_LARGE, "body-too-large")
             case Lost(reason):
                 self._fail(BAD_GATEWAY, reason)
             case TimedOut():
--- a/packages/gateway/sardinewheel_gateway/http_server.py
+++ b/packages/gateway/sardinewheel_gateway/http_server.py
@@ -9,6 +9,7 @@
 import socket as std_socket
 from collections import deque
 from collections.abc import Callable, Iterator
+from http import HTTPStatus
 
 import gevent
 import h11
@@ -78,6 +79,11 @@
             self.body_changed.clear()
             self.body_changed.wait()
 
+    @property
+    def body_is_too_large(self) -> bool:
+        """Whether the request's body exceeded the limit."""
+        return isinstance(self.body_error, BodyTooLargeError)
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole answer."""
         length = (b"content-length", str(len(body)).encode())
@@ -92,7 +98,11 @@
         self.has_begun = True
         if self.connection.must_close(self):
             headers = [*headers, (b"connection", b"close")]
-        self._write(h11.Response(status_code=status, headers=headers))
+        self._write(
+            h11.Response(
+                status_code=status, headers=headers, reason=_reason(status)
+            )
+        )
 
     def send(self, data: bytes) -> None:
         """Sends a part of the answer's body."""
@@ -457,6 +467,14 @@
         connection.run()
 
 
+def _reason(status: int) -> bytes:
+    """Returns the reason phrase of a status; none for unregistered ones."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
+
+
 def _shut(sock, how: int) -> None:
     try:
         sock.shutdown(how)
--- /dev/null
+++ b/tests/gateway/house.py
@@ -0,0 +1,229 @@
+"""A gateway's front and scripted targets in one process, over real sockets."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+from sardinewheel_gateway import clock
+from sardinewheel_gateway.contract import Caller, Lookup, Verdict
+from sardinewheel_gateway.forwarding import Forwarder
+from sardinewheel_gateway.http_server import HttpServer
+from sardinewheel_gateway.log import Log
+from sardinewheel_gateway.messages import value_of
+from sardinewheel_gateway.metrics import Metrics
+from sardinewheel_gateway.policy.beliefs import Beliefs, Bounds
+from sardinewheel_gateway.policy.cold import ColdBound
+from sardinewheel_gateway.policy.loads import ReportedLoad
+from sardinewheel_gateway.policy.retries import RetryBound
+from sardinewheel_gateway.policy.routes import Configuration, Limits, Service
+
+from tests.gateway.policy.test_routes import route
+from tests.gateway.policy.test_targets import record
+
+BOUNDS = Bounds(RetryBound(0.2, 60.0, 10.0), ColdBound(1.5, 5.0))
+LIMITS = Limits(
+    max_head_bytes=4096,
+    max_body_bytes=1024 * 1024,
+    head_timeout_s=0.3,
+    idle_timeout_s=0.6,
+)
+ORDERS = Service("orders", 100, 3.0, 2.7)
+
+
+class PlainContract:
+    """Headers of the tests."""
+
+    def is_readiness(self, path):
+        return path == b"/ready"
+
+    def lookup(self, path):
+        return Lookup("north", "north-a") if path == b"/lookup" else None
+
+    def lookup_answer(self, addresses, *, ttl_s):
+        return f"{addresses} {ttl_s}".encode()
+
+    def caller(self, headers):
+        remaining = value_of(headers, b"x-remaining")
+        return Caller(
+            (value_of(headers, b"x-id") or b"").decode(),
+            float(remaining) if remaining else None,
+            (value_of(headers, b"x-object") or b"").decode(),
+        )
+
+    def to_target(self, headers, *, target_id, remaining_s):
+        kept = [h for h in headers if h[0] != b"x-remaining"]
+        return [
+            *kept,
+            (b"x-remaining", f"{remaining_s:.3f}".encode()),
+            (b"x-target", target_id.encode()),
+        ]
+
+    def answers(self, headers, request_id):
+        return (value_of(headers, b"x-id") or b"").decode() == request_id
+
+    def verdict(self, status, headers):
+        return Verdict(
+            is_whole=value_of(headers, b"x-proof") is not None,
+            was_executed=value_of(headers, b"x-not-run") is None,
+            is_other_target=status == 421,
+            load=ReportedLoad(1, 0, 3),
+        )
+
+    def own_answer(self, headers):
+        return []
+
+
+class ScriptedTarget:
+    """A target that hands each request to a script.
+
+    Attributes:
+        heads: Request heads that arrived, as text.
+        ended: How many connections their other side closed.
+    """
+
+    def __init__(self, script: Callable):
+        self.script = script
+        self.heads: list[str] = []
+        self.ended = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock, _address):
+        data = b""
+        while True:
+            while b"\r\n\r\n" not in data:
+                more = sock.recv(65536)
+                if not more:
+                    self.ended += 1
+                    return
+                data += more
+            head, _, data = data.partition(b"\r\n\r\n")
+            self.heads.append(head.decode())
+            data = self.script(sock, head.decode(), data) or b""
+
+
+def request_id(head: str) -> str:
+    """Returns the id in a request head."""
+    for line in head.split("\r\n"):
+        name, _, value = line.partition(": ")
+        if name.lower() == "x-id":
+            return value
+    return ""
+
+
+def answer(head: str, body: bytes = b"done", *, status="200 OK", more=""):
+    """Returns an answer to a request head."""
+    return (
+        f"HTTP/1.1 {status}\r\nX-Id: {request_id(head)}\r\nX-Proof: yes\r\n"
+        f"{more}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def serves(sock, head, rest):
+    """Script: answers whole."""
+    sock.sendall(answer(head))
+    return rest
+
+
+class House:
+    """A front with targets.
+
+    Attributes:
+        targets: The targets by id, ``t0`` and so on.
+    """
+
+    def __init__(self, *scripts: Callable, **route_fields):
+        self.targets = {
+            f"t{n}": ScriptedTarget(script) for n, script in enumerate(scripts)
+        }
+        self.log = Log(host="test", level="debug")
+        rng = random.Random(7)
+        self.beliefs = Beliefs(host="test", bounds=BOUNDS, regions={}, rng=rng)
+        self.beliefs.configure(
+            Configuration(
+                1,
+                (route("orders", "/orders/", **route_fields),),
+                {"orders": ORDERS},
+                LIMITS,
+            )
+        )
+        self.beliefs.configuration = self.beliefs.configuration._replace()
+        for target_id, target in self.targets.items():
+            self.beliefs.fleet.put(
+                record(target_id, address=target.address), now=clock.steady()
+            )
+        self.forwarder = Forwarder(
+            beliefs=self.beliefs,
+            contract=PlainContract(),
+            metrics=Metrics(),
+            log=self.log,
+            rng=rng,
+        )
+        self.front = HttpServer(
+            ("127.0.0.1", 0), self.forwarder.handle, self.log
+        )
+        self.front.limits = LIMITS
+        self.front.start()
+
+    def connect(self):
+        """Returns a connection to the front."""
+        port = self.front.listener.server_port
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.settimeout(5.0)
+        return sock
+
+    def ask(self, *, method="GET", number=1, body=b"", more="", sock=None):
+        """Sends one request; returns all that comes until the end."""
+        sock = sock or self.connect()
+        sock.sendall(request(method, number, body, more + CLOSE))
+        return read_all(sock)
+
+    def arrivals(self):
+        """Returns how many requests reached targets."""
+        return sum(len(t.heads) for t in self.targets.values())
+
+    def lines(self):
+        """Returns the log lines so far."""
+        return list(self.log.lines)
+
+    def close(self):
+        """Stops all servers."""
+        self.front.listener.stop()
+        for target in self.targets.values():
+            target.server.stop()
+
+
+CLOSE = "Connection: close\r\n"
+
+
+def request(method="GET", number=1, body=b"", more=""):
+    """Returns the bytes of a request."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (
+        f"{method} /orders/{number} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Id: id-{number}\r\nX-Object: o{number}\r\n{length}{more}\r\n"
+    ).encode() + body
+
+
+def read_all(sock):
+    """Returns all bytes until the other side closes or resets."""
+    data = b""
+    try:
+        while more := sock.recv(65536):
+            data += more
+    except ConnectionError:
+        data += b"<reset>"
+    return data
+
+
+def wait_until(condition, timeout_s=3.0):
+    """Waits until a condition holds."""
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.005)
--- /dev/null
+++ b/tests/gateway/policy/test_retries.py
@@ -0,0 +1,27 @@
+"""The retry budget holds over all hosts without messages."""
+
+from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
+
+BOUND = RetryBound(ratio=0.2, slack=62.0, window_s=10.0)
+
+
+def test_hosts_together_stay_below_the_bound():
+    budgets = [RetryBudget(BOUND) for _ in range(11)]
+    granted = 0
+    requests = 0
+    for budget in budgets:
+        budget.hosts = len(budgets)
+        for _ in range(40):
+            budget.requested(1.0)
+            requests += 1
+        while budget.grant(2.0):
+            granted += 1
+    assert 0 < granted <= BOUND.ratio * requests + BOUND.slack
+
+
+def test_a_budget_comes_back_after_its_window():
+    budget = RetryBudget(BOUND)
+    while budget.grant(0.0):
+        pass
+    assert not budget.grant(9.0)
+    assert budget.grant(10.1)
--- /dev/null
+++ b/tests/gateway/policy/test_targets.py
@@ -0,0 +1,81 @@
+"""Targets come and go by their records; the registry may be away."""
+
+from sardinewheel_gateway.policy.targets import (
+    STORE_RETURN_S,
+    Fleet,
+    TargetRecord,
+)
+
+
+def record(target_id="t1", **fields):
+    given = {
+        "started_ms": 1000,
+        "service": "orders",
+        "address": "10.0.0.1:80",
+        "domain": "north-a",
+        "slots": 3,
+        "is_draining": False,
+        "cold_left_s": 0.0,
+    }
+    given.update(fields)
+    return TargetRecord(target_id=target_id, **given)
+
+
+def ids(fleet, service="orders"):
+    return [t.record.target_id for t in fleet.usable(service)]
+
+
+def test_a_draining_target_gets_nothing_more():
+    fleet = Fleet()
+    fleet.put(record(), now=0.0)
+    assert ids(fleet) == ["t1"]
+    change = fleet.put(record(is_draining=True), now=1.0)
+    assert change.event == "draining"
+    assert ids(fleet) == []
+
+
+def test_a_removed_target_is_gone_at_once_while_the_registry_is_settled():
+    fleet = Fleet()
+    fleet.put(record(), now=0.0)
+    assert fleet.remove("t1", now=5.0).event == "gone"
+    assert ids(fleet) == []
+
+
+def test_a_record_that_lapsed_while_the_registry_was_away_gets_time():
+    fleet = Fleet()
+    fleet.replace_all([record("t1"), record("t2")], now=0.0)
+    fleet.registry_returned(now=10.0)
+    fleet.replace_all([], now=10.0)
+    assert ids(fleet) == ["t1", "t2"]
+    fleet.put(record("t2"), now=11.0)
+    changes = fleet.expire(now=10.0 + STORE_RETURN_S)
+    assert [(c.target_id, c.event) for c in changes] == [("t1", "gone")]
+    assert ids(fleet) == ["t2"]
+
+
+def test_a_restart_under_the_same_id_is_a_new_incarnation():
+    fleet = Fleet()
+    fleet.put(record(started_ms=1000), now=0.0)
+    change = fleet.put(record(started_ms=2000, cold_left_s=3.0), now=5.0)
+    assert change.event == "restarted"
+    assert fleet.targets["t1"].is_cold(7.9)
+    assert not fleet.targets["t1"].is_cold(8.1)
+
+
+def test_a_late_record_of_an_earlier_start_is_ignored():
+    fleet = Fleet()
+    fleet.put(record(started_ms=2000), now=0.0)
+    old = record(started_ms=1000, address="10.0.0.9:80")
+    assert fleet.put(old, now=1.0) is None
+    assert fleet.targets["t1"].record.address == "10.0.0.1:80"
+
+
+def test_an_evacuated_domain_gets_nothing_and_comes_back_cold():
+    fleet = Fleet()
+    fleet.cold_periods_s = {"orders": 3.0}
+    fleet.put(record(), now=0.0)
+    assert fleet.evacuate(frozenset({"north-a"}), now=1.0)
+    assert ids(fleet) == []
+    assert fleet.evacuate(frozenset(), now=9.0)
+    assert ids(fleet) == ["t1"]
+    assert fleet.targets["t1"].is_cold(11.9)
--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,182 @@
+"""The ingress: pipelining, limits, bad framing, callers that leave."""
+
+import gevent
+import pytest
+
+from tests.gateway.house import (
+    CLOSE,
+    House,
+    answer,
+    read_all,
+    request,
+    serves,
+    wait_until,
+)
+
+
+@pytest.fixture
+def house():
+    made = House(serves)
+    yield made
+    made.close()
+
+
+def test_pipelined_requests_run_together_and_are_answered_in_order():
+    running = []
+
+    def slow_first(sock, head, rest):
+        running.append(head.split()[1])
+        if head.startswith("GET /orders/1"):
+            wait_until(lambda: len(running) == 2)
+            gevent.sleep(0.05)
+        sock.sendall(answer(head, head.split()[1].encode()))
+        return rest
+
+    house = House(slow_first)
+    sock = house.connect()
+    sock.sendall(request(number=1) + request(number=2, more=CLOSE))
+    data = read_all(sock)
+    assert data.index(b"/orders/1") < data.index(b"/orders/2")
+    assert sorted(running) == ["/orders/1", "/orders/2"]
+    house.close()
+
+
+def test_a_connection_is_kept_for_further_requests(house):
+    sock = house.connect()
+    for number in (1, 2):
+        sock.sendall(request(number=number))
+        assert b"done" in sock.recv(65536)
+    assert house.ask(sock=sock, number=3).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_a_chunked_body_reaches_the_target_whole():
+    bodies = []
+
+    def keeps(sock, head, rest):
+        length = int(head.lower().split("content-length: ")[1].split("\r")[0])
+        while len(rest) < length:
+            rest += sock.recv(65536)
+        bodies.append(rest[:length])
+        sock.sendall(answer(head))
+        return rest[length:]
+
+    house = House(keeps)
+    sock = house.connect()
+    sock.sendall(
+        b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-1\r\n"
+        b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    assert b"200 OK" in read_all(sock)
+    assert bodies == [b"abcde"]
+    house.close()
+
+
+SMUGGLED = b"GET /orders/9 HTTP/1.1\r\nHost: shop.example\r\nX-Id: x\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        b"Content-Length: 4\r\nContent-Length: 9\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 4x\r\n",
+        b"Host: other.example\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused_and_nothing_is_smuggled(house, framing):
+    sock = house.connect()
+    sock.sendall(
+        b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-1\r\n"
+        + framing
+        + b"\r\n0\r\n\r\n"
+        + SMUGGLED
+    )
+    data = read_all(sock)
+    status = int(data.split()[1])
+    assert status in (400, 501)
+    assert data.count(b"HTTP/1.1") == 1
+    assert house.arrivals() == 0
+
+
+def test_a_head_that_takes_too_long_is_told_so(house):
+    sock = house.connect()
+    sock.sendall(b"GET /orders/1 HTTP/1.1\r\nHost:")
+    assert read_all(sock).startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_head_that_is_too_large_is_told_so(house):
+    sock = house.connect()
+    sock.sendall(b"GET /orders/1 HTTP/1.1\r\nX: " + b"x" * 9000)
+    assert read_all(sock).startswith(b"HTTP/1.1 431 ")
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 2000000\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n"
+        + (b"10000\r\n" + b"x" * 65536 + b"\r\n") * 20,
+    ],
+)
+def test_a_body_that_is_too_large_is_told_so(house, framing):
+    sock = house.connect()
+    sock.sendall(
+        b"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: id-1\r\n"
+        + framing
+    )
+    assert b"HTTP/1.1 413 " in read_all(sock)
+
+
+def test_an_idle_connection_is_closed_without_an_answer(house):
+    assert read_all(house.connect()) == b""
+
+
+def test_a_request_under_way_outlives_the_idle_limit():
+    def slow(sock, head, rest):
+        gevent.sleep(0.9)
+        sock.sendall(answer(head))
+        return rest
+
+    house = House(slow, timeout_s=3.0)
+    sock = house.connect()
+    sock.sendall(request())
+    assert b"200 OK" in sock.recv(65536)
+    house.close()
+
+
+def test_a_caller_that_leaves_frees_its_target():
+    def never(sock, head, rest):
+        # The target's next read of the connection sees its end.
+        return rest
+
+    house = House(never, timeout_s=5.0)
+    sock = house.connect()
+    sock.sendall(request())
+    wait_until(lambda: house.arrivals() == 1)
+    sock.close()
+    wait_until(lambda: house.targets["t0"].ended == 1, 1.0)
+    assert not house.front.under_way
+    house.close()
+
+
+def test_a_leaving_host_closes_with_its_next_answer(house):
+    sock = house.connect()
+    sock.sendall(request())
+    assert b"connection: close" not in sock.recv(65536).lower()
+    house.front.is_leaving = True
+    sock.sendall(request(number=2))
+    assert b"connection: close" in read_all(sock).lower()
+
+
+def test_an_unknown_path_is_not_found(house):
+    sock = house.connect()
+    sock.sendall(
+        b"GET /other/1 HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Connection: close\r\n\r\n"
+    )
+    assert read_all(sock).startswith(b"HTTP/1.1 404 ")
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,132 @@
+"""Rows of the store: valid ones become types, others name nothing."""
+
+import json
+
+import pytest
+from sardinewheel_platform import records
+
+TARGET = {
+    "Service": "orders",
+    "Address": "10.0.0.9:8080",
+    "Zone": "north-a",
+    "CfgVersion": "v1",
+    "Slots": 3,
+    "OperState": "in_service",
+    "ColdLeft": "1500ms",
+    "Sequence": 4,
+    "born": 1_790_000_000_000,
+}
+CONFIGURATION = {
+    "CfgVersion": 7,
+    "Routes": [
+        {
+            "Name": "confirm",
+            "Host": "Shop.example",
+            "Prefix": "/confirm/",
+            "Kind": "non_idempotent",
+            "Timeout": "1500ms",
+            "TargetLatency": "600ms",
+            "Priority": 1,
+            "Service": "orders",
+            "MaxAttempts": 2,
+            "Sticky": True,
+            "HomeRegions": ["north"],
+        },
+        {
+            "Name": "status",
+            "Host": "shop.example",
+            "Prefix": "/status/",
+            "Kind": "idempotent",
+            "TargetLatency": "0.5s",
+            "Priority": 2,
+            "Split": [
+                {"Service": "orders", "Weight": 90},
+                {"Service": "archive", "Weight": 0},
+            ],
+            "MaxAttempts": 1,
+        },
+    ],
+    "Services": [
+        {
+            "Name": "orders",
+            "HealthPath": "/health",
+            "MaxConns": 390,
+            "ColdStart": "3s",
+            "ColdPerS": 2.7,
+        }
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 67108864,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    },
+}
+
+
+def test_a_target_is_decoded():
+    record = records.target("t1", json.dumps(TARGET).encode())
+    assert record.target_id == "t1"
+    assert record.started_ms == TARGET["born"]
+    assert record.cold_left_s == 1.5
+    assert not record.is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"OperState": "lost"},
+        {"OperState": None},
+        {"Service": 7},
+        {"Service": ""},
+        {"Address": "nowhere"},
+        {"Address": ":80"},
+        {"Zone": ["north-a"]},
+        {"Slots": "3"},
+        {"Slots": True},
+        {"Slots": 0},
+        {"ColdLeft": 1500},
+        {"ColdLeft": "soon"},
+        {"born": "today"},
+        {"born": 1.5},
+    ],
+)
+def test_a_half_written_entry_names_no_target(change):
+    value = json.dumps(TARGET | change).encode()
+    with pytest.raises(records.RecordError, match="t1"):
+        records.target("t1", value)
+
+
+@pytest.mark.parametrize(
+    "name", [k for k in TARGET if k not in ("CfgVersion", "Sequence", "born")]
+)
+def test_a_missing_field_names_no_target(name):
+    plain = {k: v for k, v in TARGET.items() if k != name}
+    with pytest.raises(records.RecordError):
+        records.target("t1", json.dumps(plain).encode())
+
+
+@pytest.mark.parametrize("value", [b"\xff\xfe", b"", b"[]", b"7", b"{}"])
+def test_unreadable_bytes_name_no_target(value):
+    with pytest.raises(records.RecordError):
+        records.target("t1", value)
+
+
+def test_a_configuration_is_decoded():
+    value = json.dumps(CONFIGURATION).encode()
+    configuration = records.configuration(value)
+    confirm, status = configuration.routes
+    assert configuration.version == 7
+    assert confirm.host == "shop.example"
+    assert not confirm.is_idempotent
+    assert confirm.timeout_s == 1.5
+    assert confirm.home_regions == {"north"}
+    assert status.timeout_s is None
+    assert [share.service for share in status.shares] == ["orders"]
+    assert configuration.services["orders"].cold_rate_per_s == 2.7
+    assert configuration.limits.idle_timeout_s == 15.0
+
+
+def test_an_unreadable_configuration_is_refused():
+    with pytest.raises(records.RecordError):
+        records.configuration(b"{}")
