Catch up from another host while the store can't be reached

Cause: a host that the store refuses, or that starts while the store is away, kept an old configuration and old targets, or had none, though its neighbours knew more.

Ruled out: relaying single rows by datagram (loss, order and size).

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -268,6 +268,7 @@
                 return self._exchange(exchange, placed, now)
             if exchange is None or not exchange.has_sent:
                 return self._unreachable(placed, "connect timeout")
+            self._timed_out(placed, now)
             return TimedOut()
         except NotSentError as error:
             return self._unreachable(placed, str(error))
@@ -352,6 +353,17 @@
         self._target_failed(placed, reason)
         return Lost(reason)
 
+    def _timed_out(self, placed: Placed, sent_at: float) -> None:
+        target = placed.target
+        if self.beliefs.target_timed_out(target, sent_at, clock.steady()):
+            self.forwarder.pool.drop(target.record.target_id)
+            self.forwarder.log.warning(
+                "target-silent",
+                request=self.caller.request_id,
+                target=target.record.target_id,
+                waited_s=clock.steady() - sent_at,
+            )
+
     def _target_failed(self, placed: Placed, reason: str) -> None:
         record = placed.target.record
         self.forwarder.pool.drop(record.target_id)
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -10,6 +10,8 @@
 
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.policy.hosts import HostBook, HostState
+from sardinewheel_gateway.policy.snapshots import Positions
+from sardinewheel_gateway.supervision import keep_running
 
 INTERVAL_S = 1.0
 MAX_DATAGRAM_BYTES = 1400
@@ -31,11 +33,19 @@
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
+        self.tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Starts to send and to listen."""
-        gevent.spawn(self._listen)
-        gevent.spawn(self._beat_forever)
+        self.tasks = [
+            keep_running("listen", self._listen, self.log),
+            keep_running("beat", self._beat_forever, self.log),
+        ]
+
+    def stop(self) -> None:
+        """Ends both, without a word to the other hosts."""
+        gevent.killall(self.tasks)
+        self.sock.close()
 
     def beat(self) -> None:
         """Sends this host's state to all that it knows."""
@@ -45,6 +55,10 @@
         for address in known.union(self.seeds) - {own.gossip}:
             self._send(address, introduced=[])
 
+    def advance(self, positions: Positions) -> None:
+        """Sets how far this host has heard; the next heartbeat tells it."""
+        self.book.own = self.book.own._replace(positions=positions)
+
     def change(self, *, is_ready: bool) -> None:
         """Tells all hosts at once whether this one takes requests."""
         if self.book.own.is_ready != is_ready:
@@ -67,10 +81,10 @@
 
     def _listen(self) -> None:
         while True:
+            data, _ = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                data, _ = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
                 self._take(data)
-            except (OSError, ValueError, TypeError) as error:
+            except (ValueError, TypeError, cbor2.CBORDecodeError) as error:
                 self.log.warning("heartbeat-unreadable", error=repr(error))
 
     def _take(self, data: bytes) -> None:
@@ -78,10 +92,10 @@
         if version != FORMAT:
             return
         now = clock.steady()
-        sender = HostState(*state)
+        sender = _state(state)
         is_news = self.book.hear(sender, now=now)
         for plain in introduced:
-            self.book.introduce(HostState(*plain), now=now)
+            self.book.introduce(_state(plain), now=now)
         if is_news:
             self._log_news(sender)
             if not introduced:
@@ -102,3 +116,8 @@
             incarnation=state.incarnation,
             ready=state.is_ready,
         )
+
+
+def _state(plain: list) -> HostState:
+    state = HostState(*plain)
+    return state._replace(positions=Positions(*state.positions))
--- a/packages/gateway/sardinewheel_gateway/policy/beliefs.py
+++ b/packages/gateway/sardinewheel_gateway/policy/beliefs.py
@@ -124,7 +124,7 @@
         if answer.is_other_target:
             load.failed(now=now)
             return
-        load.answered(is_error=is_error)
+        load.answered(is_error=is_error, now=now)
         if answer.load is not None:
             load.report(answer.load, now=now)
 
@@ -132,6 +132,19 @@
         """Learns that a target can't be reached or broke off."""
         self.loads.of(target.record.target_id).failed(now=now)
 
+    def target_timed_out(
+        self, target: Target, sent_at: float, now: float
+    ) -> bool:
+        """Learns that a request got no answer; says if the target is down.
+
+        A target that answered others meanwhile is only slow.
+        """
+        load = self.loads.of(target.record.target_id)
+        if load.answered_at >= sent_at:
+            return False
+        load.failed(now=now)
+        return True
+
     def set_hosts(self, names: tuple[str, ...]) -> None:
         """Sets the hosts that share the bounds."""
         self.hosts = len(names)
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.snapshots import Positions
+
+RESTART_SILENCE_S = 2.0
 SILENCE_S = 3.5
 FORGET_S = 60.0
 
@@ -15,9 +18,11 @@
         sequence: Counts its heartbeats.
         front: ``host:port`` where callers send requests.
         gossip: ``host:port`` where heartbeats go.
+        control: ``host:port`` where other hosts ask it.
         domain: Its failure domain.
         region: Its region.
         is_ready: Whether callers may be sent to it.
+        positions: How far into the store's history it has heard.
     """
 
     name: str
@@ -25,9 +30,11 @@
     sequence: int
     front: str
     gossip: str
+    control: str
     domain: str
     region: str
     is_ready: bool
+    positions: Positions = Positions()
 
 
 class Peer(NamedTuple):
@@ -54,12 +61,12 @@
         if state.name == self.own.name:
             return False
         known = self.peers.get(state.name)
-        if known is not None and _is_older(state, known.state):
+        if known is not None and _is_older(state, known, now):
             return False
         self.peers[state.name] = Peer(state, now)
         if known is None or now - known.heard_at > SILENCE_S:
             return True
-        return known.state._replace(sequence=0) != state._replace(sequence=0)
+        return _lasting(known.state) != _lasting(state)
 
     def introduce(self, state: HostState, *, now: float) -> bool:
         """Takes word of a host that was not heard from directly."""
@@ -92,9 +99,21 @@
         return tuple(sorted((self.own.name, *self.peers)))
 
 
-def _is_older(state: HostState, known: HostState) -> bool:
-    order = (state.incarnation, state.sequence)
-    return order <= (known.incarnation, known.sequence)
+def _is_older(state: HostState, known: Peer, now: float) -> bool:
+    """Says whether a heartbeat was overtaken by another one.
+
+    A start that looks earlier is taken once the known one has fallen silent:
+    the time of day may have been set back in between.
+    """
+    if state.incarnation == known.state.incarnation:
+        return state.sequence <= known.state.sequence
+    is_silent = now - known.heard_at > RESTART_SILENCE_S
+    return state.incarnation < known.state.incarnation and not is_silent
+
+
+def _lasting(state: HostState) -> HostState:
+    """Returns a state without what each heartbeat changes."""
+    return state._replace(sequence=0, positions=Positions())
 
 
 def entry_hosts(
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -33,6 +33,7 @@
         retry_at: When it may be used again after it failed.
         failures: Connection failures in a row.
         error_share: Part of its recent answers that were failures.
+        answered_at: When it last answered, on the steady clock.
     """
 
     def __init__(self):
@@ -42,6 +43,7 @@
         self.retry_at = float("-inf")
         self.failures = 0
         self.error_share = 0.0
+        self.answered_at = float("-inf")
 
     def report(self, load: ReportedLoad, *, now: float) -> None:
         """Takes a load report; the answered request is still in flight."""
@@ -63,8 +65,9 @@
         self.retry_at = now + pause
         return pause
 
-    def answered(self, *, is_error: bool) -> None:
+    def answered(self, *, is_error: bool, now: float) -> None:
         """Notes an answer of the target."""
+        self.answered_at = now
         self.failures = 0
         self.retry_at = float("-inf")
         self.error_share += FAILURE_WEIGHT * (is_error - self.error_share)
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 STORE_RETURN_S = 2.2
+MIN_LAPSE_S = 2.0
 
 
 class TargetRecord(NamedTuple):
@@ -124,9 +125,16 @@
         changes += [self.remove(x, now=now) for x in missing]
         return [change for change in changes if change is not None]
 
-    def registry_returned(self, *, now: float) -> None:
-        """Notes that the registry answers again after it was away."""
-        self.back_at = now
+    def registry_returned(self, *, away_s: float, now: float) -> None:
+        """Notes that the registry answers again after it was away.
+
+        Args:
+            away_s: Seconds for which it was away; no record lapses in a
+                short absence.
+            now: Seconds of the steady clock.
+        """
+        if away_s >= MIN_LAPSE_S:
+            self.back_at = now
 
     def expire(self, *, now: float) -> list[TargetChange]:
         """Forgets the targets whose record stayed missing."""
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -22,9 +22,13 @@
     entry_hosts,
 )
 from sardinewheel_gateway.policy.routes import Configuration
+from sardinewheel_gateway.policy.snapshots import Positions, Snapshot
 from sardinewheel_gateway.policy.targets import TargetChange, TargetRecord
+from sardinewheel_gateway.relay import SNAPSHOT_PATH, Relay, encode
+from sardinewheel_gateway.supervision import keep_running
 
 TICK_S = 0.25
+RELAY_INTERVAL_S = 0.5
 LOOKUP_TTL_S = 2.0
 MAX_LOOKUP_ADDRESSES = 64
 STOP_LINGER_S = 2.5
@@ -33,6 +37,7 @@
 NOT_FOUND = 404
 UNAVAILABLE = 503
 METRICS_PATH = b"/metrics"
+CBOR_HEADERS = [(b"content-type", b"application/cbor")]
 JSON_HEADERS = [(b"content-type", b"application/json")]
 TEXT_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 
@@ -112,6 +117,7 @@
         self.gossip = Gossip(
             settings.gossip, self.book, list(settings.seeds), self.log
         )
+        self.relay = Relay(self.book, self._catch_up, self.log, self.rng)
         self.front = self._server(settings.front, self.forwarder.handle)
         self.others = [
             self._server(address, self._answer)
@@ -138,7 +144,8 @@
         for server in (self.front, *self.others):
             server.start()
         self.gossip.start()
-        gevent.spawn(self._tick_forever)
+        keep_running("tick", self._tick_forever, self.log)
+        keep_running("relay", self._relay_forever, self.log)
 
     def run(self, *, on_reload: Callable[[], None] | None = None) -> None:
         """Runs until the process was told to stop and has finished."""
@@ -181,9 +188,30 @@
         change = self.beliefs.fleet.remove(target_id, now=clock.steady())
         self._changed([change] if change else [])
 
-    def registry_returned(self) -> None:
-        """Notes that the registry answers again."""
-        self.beliefs.fleet.registry_returned(now=clock.steady())
+    def heard_operators(self, position: int) -> None:
+        """Notes how far into the store's history operators were heard."""
+        known = self.book.own.positions
+        self._advance(known._replace(operators=position))
+
+    def heard_targets(self, position: int) -> None:
+        """Notes how far into the store's history targets were heard."""
+        known = self.book.own.positions
+        self._advance(known._replace(targets=position))
+
+    def source_lost(self, source: str, *, reason: str) -> None:
+        """Notes that a table of the store can't be read."""
+        self.relay.sources_lost.add(source)
+        self.log.warning("store-lost", table=source, reason=reason)
+
+    def source_returned(self, source: str, *, away_s: float) -> None:
+        """Notes that a table of the store can be read again."""
+        self.relay.sources_lost.discard(source)
+        self.log.info("store-regained", table=source, away_s=away_s)
+
+    def registry_returned(self, *, away_s: float) -> None:
+        """Notes that the targets' records can be read again."""
+        fleet = self.beliefs.fleet
+        fleet.registry_returned(away_s=away_s, now=clock.steady())
 
     def evacuate(self, domains: frozenset[str]) -> None:
         """Sets the failure domains whose targets get nothing."""
@@ -201,6 +229,49 @@
                 self.forwarder.pool.drop(change.target_id)
             self.log.info(f"target-{change.event}", target=change.target_id)
 
+    def _advance(self, positions: Positions) -> None:
+        known = self.book.own.positions
+        self.gossip.advance(
+            Positions(
+                max(known.operators, positions.operators),
+                max(known.targets, positions.targets),
+            )
+        )
+
+    def _catch_up(self, snapshot: Snapshot, peer: str) -> None:
+        """Takes what another host knows of the store's content."""
+        own = self.book.own.positions
+        theirs = snapshot.positions
+        self.log.info(
+            "snapshot-applied",
+            peer=peer,
+            operators=theirs.operators,
+            targets=theirs.targets,
+            operators_before=own.operators,
+            targets_before=own.targets,
+        )
+        if theirs.operators > own.operators:
+            if snapshot.configuration is not None:
+                self.configure(snapshot.configuration, source=peer)
+            self.evacuate(snapshot.evacuated)
+        if theirs.targets > own.targets:
+            self.replace_targets(list(snapshot.records))
+        self._advance(theirs)
+
+    def _snapshot(self) -> Snapshot:
+        targets = self.beliefs.fleet.targets.values()
+        return Snapshot(
+            positions=self.book.own.positions,
+            configuration=self.beliefs.configuration,
+            evacuated=self.beliefs.fleet.evacuated,
+            records=tuple(target.record for target in targets),
+        )
+
+    def _relay_forever(self) -> None:
+        while True:
+            gevent.sleep(RELAY_INTERVAL_S)
+            self.relay.step()
+
     def _update_readiness(self) -> None:
         is_ready = (
             not self.is_leaving
@@ -234,6 +305,8 @@
         elif self.contract.is_readiness(path):
             is_ready = self.book.own.is_ready
             exchange.respond(OK if is_ready else UNAVAILABLE, [], b"")
+        elif path == SNAPSHOT_PATH:
+            exchange.respond(OK, CBOR_HEADERS, encode(self._snapshot()))
         elif path.startswith(METRICS_PATH):
             body = self.metrics.text(self._gauges()).encode()
             exchange.respond(OK, TEXT_HEADERS, body)
@@ -286,6 +359,7 @@
         sequence=0,
         front=settings.front,
         gossip=settings.gossip,
+        control=settings.control,
         domain=settings.domain,
         region=settings.region,
         is_ready=False,
--- a/tests/gateway/policy/test_hosts.py
+++ b/tests/gateway/policy/test_hosts.py
@@ -2,6 +2,7 @@
 
 from sardinewheel_gateway.policy.hosts import (
     FORGET_S,
+    RESTART_SILENCE_S,
     SILENCE_S,
     HostBook,
     HostState,
@@ -15,6 +16,7 @@
         "sequence": 1,
         "front": f"{name}:80",
         "gossip": f"{name}:81",
+        "control": f"{name}:82",
         "domain": "north-a",
         "region": "north",
         "is_ready": True,
@@ -46,6 +48,13 @@
     assert not book.peers["b"].state.is_ready
 
 
+def test_a_restart_after_the_time_of_day_was_set_back_is_heard():
+    book = HostBook(state("a"))
+    book.hear(state("b", incarnation=9000, is_ready=False), now=0.0)
+    assert book.hear(state("b", incarnation=5000), now=RESTART_SILENCE_S + 0.1)
+    assert book.peers["b"].state.is_ready
+
+
 def test_word_of_a_host_is_no_sign_of_life():
     book = HostBook(state("a"))
     assert book.introduce(state("b"), now=0.0)
--- /dev/null
+++ b/tests/gateway/test_gossip.py
@@ -0,0 +1,63 @@
+"""Hosts find each other by datagrams."""
+
+import gevent
+import pytest
+from gevent import socket
+from sardinewheel_gateway.gossip import Gossip
+from sardinewheel_gateway.log import Log
+from sardinewheel_gateway.policy.hosts import HostBook
+
+from tests.gateway.house import wait_until
+from tests.gateway.policy.test_hosts import state
+
+
+def free_ports(count):
+    socks = [
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)
+    ]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+@pytest.fixture
+def hosts():
+    ports = free_ports(3)
+    made = []
+    for name, port in zip("abc", ports, strict=True):
+        address = f"127.0.0.1:{port}"
+        book = HostBook(state(name, gossip=address))
+        seed = f"127.0.0.1:{ports[0]}"
+        made.append(Gossip(address, book, [seed], Log(host=name)))
+    yield made
+    for gossip in made:
+        gossip.stop()
+
+
+def test_hosts_that_know_one_seed_find_each_other(hosts):
+    for gossip in hosts:
+        gossip.start()
+    wait_until(lambda: all(len(g.book.peers) == 2 for g in hosts))
+
+
+def test_a_change_of_readiness_is_told_at_once(hosts):
+    for gossip in hosts:
+        gossip.start()
+    wait_until(lambda: all(len(g.book.peers) == 2 for g in hosts))
+    hosts[1].change(is_ready=False)
+    wait_until(lambda: not hosts[2].book.peers["b"].state.is_ready, 0.5)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x83\x01\x02\x03", b"\x80"])
+def test_a_datagram_that_is_no_heartbeat_changes_nothing(hosts, data):
+    hosts[0].start()
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    host, _, port = hosts[0].book.own.gossip.rpartition(":")
+    sender.sendto(data, (host, int(port)))
+    gevent.sleep(0.05)
+    hosts[1].start()
+    wait_until(lambda: "b" in hosts[0].book.peers, 0.5)
+    sender.close()
