Read the store by two hosts of a region, and tell the others

Followers push small updates as datagrams; whoever sees by a heartbeat that it is behind asks a host that is ahead for what changed since its position. Heartbeats go often within a region and every 4 s beyond it.

--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -1,35 +1,54 @@
-"""Heartbeats between hosts, as datagrams.
+"""Datagrams between hosts: heartbeats, and small updates.
 
-A host sends its state to the hosts that it knows. To a host that is new to it,
-it also tells whom it knows, so that one answered datagram is enough to join.
+A host sends its state often to the hosts of its region and more rarely to
+those farther away. To a host that is new to it, it also tells whom it knows,
+so that one answered datagram is enough to join.
 """
 
+from collections.abc import Callable
+
 import cbor2
 import gevent
 from gevent import socket
 
 from sardinewheel_gateway import clock
-from sardinewheel_gateway.policy.hosts import HostBook, HostState
-from sardinewheel_gateway.policy.snapshots import Positions
+from sardinewheel_gateway.policy.hosts import (
+    HostBook,
+    HostState,
+    StoreAccess,
+)
+from sardinewheel_gateway.policy.updates import (
+    Positions,
+    Update,
+    from_plain,
+)
 from sardinewheel_gateway.supervision import keep_running
 
-INTERVAL_S = 1.0
-MAX_DATAGRAM_BYTES = 1400
+NEAR_INTERVAL_S = 0.4
+FAR_EVERY = 10
+MAX_DATAGRAM_BYTES = 2048
 MAX_INTRODUCED = 8
-FORMAT = 1
+UNREADABLE = (ValueError, TypeError, LookupError, cbor2.CBORDecodeError)
+HEARTBEAT = 1
+UPDATE = 2
 
 
 class Gossip:
-    """Sends and takes heartbeats.
+    """Sends and takes datagrams.
 
     Attributes:
         book: The hosts that are known.
+        seeds: Addresses of hosts to begin with.
+        on_update: Called with an update and the name of who sent it.
+        on_heartbeat: Called after a heartbeat was taken.
     """
 
     def __init__(self, address: str, book: HostBook, seeds: list[str], log):
         self.book = book
         self.seeds = seeds
         self.log = log
+        self.on_update: Callable[[Update, str], None] = _ignore
+        self.on_heartbeat: Callable[[HostState], None] = _ignore
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
@@ -47,52 +66,88 @@
         gevent.killall(self.tasks)
         self.sock.close()
 
-    def beat(self) -> None:
-        """Sends this host's state to all that it knows."""
+    def beat(self, *, is_far_due: bool = True) -> None:
+        """Sends this host's state to the hosts that it knows."""
         own = self.book.own
         self.book.own = own._replace(sequence=own.sequence + 1)
-        known = {peer.state.gossip for peer in self.book.peers.values()}
-        for address in known.union(self.seeds) - {own.gossip}:
-            self._send(address, introduced=[])
+        addresses = self._near()
+        if is_far_due:
+            addresses |= self._far().union(self.seeds) - {own.gossip}
+        data = cbor2.dumps(_heartbeat(self.book.own, []))
+        for address in addresses:
+            self._send(address, data)
+
+    def change(
+        self,
+        *,
+        is_ready: bool | None = None,
+        store: StoreAccess | None = None,
+    ) -> None:
+        """Tells hosts at once what has changed of this one."""
+        own = self.book.own
+        changed = own
+        if is_ready is not None:
+            changed = changed._replace(is_ready=is_ready)
+        if store is not None:
+            changed = changed._replace(store=store)
+        if changed != own:
+            self.book.own = changed
+            self.beat(is_far_due=changed.is_ready != own.is_ready)
 
     def advance(self, positions: Positions) -> None:
         """Sets how far this host has heard; the next heartbeat tells it."""
         self.book.own = self.book.own._replace(positions=positions)
 
-    def change(self, *, is_ready: bool) -> None:
-        """Tells all hosts at once whether this one takes requests."""
-        if self.book.own.is_ready != is_ready:
-            self.book.own = self.book.own._replace(is_ready=is_ready)
-            self.beat()
+    def send_update(self, data: bytes) -> None:
+        """Sends an encoded update to the hosts of this region."""
+        message = cbor2.dumps([UPDATE, self.book.own.name, data])
+        for address in self._near():
+            self._send(address, message)
+
+    def _near(self) -> set[str]:
+        region = self.book.own.region
+        states = (peer.state for peer in self.book.peers.values())
+        return {x.gossip for x in states if x.region == region}
+
+    def _far(self) -> set[str]:
+        region = self.book.own.region
+        states = (peer.state for peer in self.book.peers.values())
+        return {x.gossip for x in states if x.region != region}
 
     def _beat_forever(self) -> None:
+        count = 0
         while True:
-            self.beat()
+            self.beat(is_far_due=count % FAR_EVERY == 0)
             self.book.expire(now=clock.steady())
-            gevent.sleep(INTERVAL_S)
+            count += 1
+            gevent.sleep(NEAR_INTERVAL_S)
 
-    def _send(self, address: str, introduced: list[HostState]) -> None:
-        message = [FORMAT, tuple(self.book.own), [tuple(x) for x in introduced]]
+    def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(":")
         try:
-            self.sock.sendto(cbor2.dumps(message), (host, int(port)))
+            self.sock.sendto(data, (host, int(port)))
         except (OSError, ValueError) as error:
-            self.log.debug("heartbeat-not-sent", to=address, error=error)
+            self.log.debug("datagram-not-sent", to=address, error=error)
 
     def _listen(self) -> None:
         while True:
             data, _ = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                self._take(data)
-            except (ValueError, TypeError, cbor2.CBORDecodeError) as error:
-                self.log.warning("heartbeat-unreadable", error=repr(error))
-
-    def _take(self, data: bytes) -> None:
-        version, state, introduced = cbor2.loads(data)
-        if version != FORMAT:
-            return
+                self._take(cbor2.loads(data))
+            except UNREADABLE as error:
+                self.log.warning("datagram-unreadable", error=repr(error))
+
+    def _take(self, message: list) -> None:
+        kind = message[0]
+        if kind == HEARTBEAT:
+            _, state, introduced = message
+            self._take_heartbeat(_state(state), introduced)
+        elif kind == UPDATE:
+            _, name, data = message
+            self.on_update(from_plain(cbor2.loads(data)), name)
+
+    def _take_heartbeat(self, sender: HostState, introduced: list) -> None:
         now = clock.steady()
-        sender = _state(state)
         is_news = self.book.hear(sender, now=now)
         for plain in introduced:
             self.book.introduce(_state(plain), now=now)
@@ -100,6 +155,7 @@
             self._log_news(sender)
             if not introduced:
                 self._welcome(sender)
+        self.on_heartbeat(sender)
 
     def _welcome(self, sender: HostState) -> None:
         others = [
@@ -107,7 +163,8 @@
             for peer in self.book.peers.values()
             if peer.state.name != sender.name
         ]
-        self._send(sender.gossip, introduced=others[:MAX_INTRODUCED])
+        message = _heartbeat(self.book.own, others[:MAX_INTRODUCED])
+        self._send(sender.gossip, cbor2.dumps(message))
 
     def _log_news(self, state: HostState) -> None:
         self.log.info(
@@ -115,9 +172,21 @@
             peer=state.name,
             incarnation=state.incarnation,
             ready=state.is_ready,
+            store=state.store.name,
         )
 
 
+def _heartbeat(own: HostState, introduced: list[HostState]) -> list:
+    return [HEARTBEAT, tuple(own), [tuple(x) for x in introduced]]
+
+
 def _state(plain: list) -> HostState:
     state = HostState(*plain)
-    return state._replace(positions=Positions(*state.positions))
+    return state._replace(
+        positions=Positions(*state.positions),
+        store=StoreAccess(state.store),
+    )
+
+
+def _ignore(*_args) -> None:
+    """Stands in where nobody listens yet."""
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/history.py
@@ -0,0 +1,53 @@
+"""The last change of each target, so that others can catch up by it."""
+
+from sardinewheel_gateway.policy.updates import (
+    NOTHING_KNOWN,
+    RecordChange,
+    TargetsUpdate,
+)
+
+MAX_DROPPED = 2000
+
+
+class TargetHistory:
+    """Answers what changed since a position.
+
+    Attributes:
+        changes: Last change by target id, the newest last.
+        position: Position that all changes are known up to.
+        floor: Position from which on dropped records are known.
+    """
+
+    def __init__(self):
+        self.changes: dict[str, RecordChange] = {}
+        self.position = NOTHING_KNOWN
+        self.floor = NOTHING_KNOWN
+
+    def misses(self, update: TargetsUpdate) -> bool:
+        """Says whether changes before an update aren't known here."""
+        return not update.is_whole and update.before > self.position
+
+    def apply(self, update: TargetsUpdate) -> None:
+        """Takes an update."""
+        if update.is_whole:
+            self.changes.clear()
+            self.floor = update.after
+        for change in update.changes:
+            self.changes.pop(change.target_id, None)
+            self.changes[change.target_id] = change
+        self.position = max(self.position, update.after)
+        self._forget_dropped()
+
+    def since(self, position: int) -> TargetsUpdate:
+        """Returns what changed after a position, or everything."""
+        if position < self.floor or position == NOTHING_KNOWN:
+            present = (c for c in self.changes.values() if c.record)
+            return TargetsUpdate(NOTHING_KNOWN, self.position, tuple(present))
+        newer = (c for c in self.changes.values() if c.position > position)
+        return TargetsUpdate(position, self.position, tuple(newer))
+
+    def _forget_dropped(self) -> None:
+        dropped = [c for c in self.changes.values() if c.record is None]
+        for change in dropped[:-MAX_DROPPED]:
+            del self.changes[change.target_id]
+            self.floor = max(self.floor, change.position)
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -1,14 +1,24 @@
 """Which other hosts run, from their heartbeats."""
 
+from enum import IntEnum
 from typing import NamedTuple
 
-from sardinewheel_gateway.policy.snapshots import Positions
+from sardinewheel_gateway.policy.updates import Positions
 
 RESTART_SILENCE_S = 2.0
 SILENCE_S = 3.5
+FAR_SILENCE_S = 6.0
 FORGET_S = 60.0
 
 
+class StoreAccess(IntEnum):
+    """What a host has to do with the store."""
+
+    IDLE = 0
+    FOLLOWING = 1
+    AWAY = 2
+
+
 class HostState(NamedTuple):
     """What a host says of itself in each heartbeat.
 
@@ -22,6 +32,8 @@
         domain: Its failure domain.
         region: Its region.
         is_ready: Whether callers may be sent to it.
+        capacity: Its size, for duties that go to the largest hosts.
+        store: Whether it follows the store.
         positions: How far into the store's history it has heard.
     """
 
@@ -34,6 +46,8 @@
     domain: str
     region: str
     is_ready: bool
+    capacity: int = 0
+    store: StoreAccess = StoreAccess.IDLE
     positions: Positions = Positions()
 
 
@@ -64,7 +78,7 @@
         if known is not None and _is_older(state, known, now):
             return False
         self.peers[state.name] = Peer(state, now)
-        if known is None or now - known.heard_at > SILENCE_S:
+        if known is None or now - known.heard_at > FAR_SILENCE_S:
             return True
         return _lasting(known.state) != _lasting(state)
 
@@ -72,7 +86,7 @@
         """Takes word of a host that was not heard from directly."""
         if state.name == self.own.name or state.name in self.peers:
             return False
-        self.peers[state.name] = Peer(state, now - SILENCE_S)
+        self.peers[state.name] = Peer(state, now - FAR_SILENCE_S)
         return True
 
     def expire(self, *, now: float) -> None:
@@ -90,10 +104,15 @@
         heard = [
             peer.state
             for peer in self.peers.values()
-            if now - peer.heard_at < SILENCE_S
+            if now - peer.heard_at < self._silence_s(peer.state)
         ]
         return [self.own, *heard]
 
+    def _silence_s(self, state: HostState) -> float:
+        """Returns for how long a live host may be silent."""
+        is_near = state.region == self.own.region
+        return SILENCE_S if is_near else FAR_SILENCE_S
+
     def names(self) -> tuple[str, ...]:
         """Returns the names of all known hosts, also silent ones."""
         return tuple(sorted((self.own.name, *self.peers)))
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -78,6 +78,7 @@
         self.has_loaded = False
         self.revision = 0
         self.back_at: float | None = None
+        self.away_s = 0.0
         self.usable_cache: dict[str, tuple[int, list[Target]]] = {}
         self.cold_periods_s: dict[str, float] = {}
 
@@ -135,6 +136,11 @@
         """
         if away_s >= MIN_LAPSE_S:
             self.back_at = now
+            self.away_s = away_s
+
+    def recent_absence_s(self, *, now: float) -> float:
+        """Returns how long the registry was away, if it just returned."""
+        return 0.0 if self._registry_is_settled(now) else self.away_s
 
     def expire(self, *, now: float) -> list[TargetChange]:
         """Forgets the targets whose record stayed missing."""
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import cbor2
 import gevent
 import gevent.event
 
@@ -16,23 +17,33 @@
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.metrics import Metrics
 from sardinewheel_gateway.policy.beliefs import Beliefs, Bounds
+from sardinewheel_gateway.policy.following import FollowDecision
+from sardinewheel_gateway.policy.history import TargetHistory
 from sardinewheel_gateway.policy.hosts import (
     HostBook,
     HostState,
+    StoreAccess,
     entry_hosts,
 )
 from sardinewheel_gateway.policy.routes import Configuration
-from sardinewheel_gateway.policy.snapshots import Positions, Snapshot
-from sardinewheel_gateway.policy.targets import TargetChange, TargetRecord
-from sardinewheel_gateway.relay import SNAPSHOT_PATH, Relay, encode
+from sardinewheel_gateway.policy.targets import Fleet, TargetChange
+from sardinewheel_gateway.policy.updates import (
+    OperatorsUpdate,
+    Positions,
+    RecordChange,
+    TargetsUpdate,
+    Update,
+    to_plain,
+)
+from sardinewheel_gateway.relay import Relay, asked_positions, is_ahead
 from sardinewheel_gateway.supervision import keep_running
 
+FOLLOWING = StoreAccess.FOLLOWING
 TICK_S = 0.25
-RELAY_INTERVAL_S = 0.5
 LOOKUP_TTL_S = 2.0
 MAX_LOOKUP_ADDRESSES = 64
 STOP_LINGER_S = 2.5
-STOP_MARGIN_S = 0.4
+STOP_MARGIN_S = 0.8
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -60,6 +71,7 @@
         grace_s: Seconds from the order to stop to the end of the process.
         max_lookup_ttl_s: Seconds that callers may keep an answer at most.
         bounds: Bounds over all hosts together.
+        capacity: Size of the host, for duties that go to the largest.
         log_level: Least severe level that is logged.
     """
 
@@ -77,15 +89,15 @@
     grace_s: float
     max_lookup_ttl_s: float
     bounds: Bounds
+    capacity: int = 0
     log_level: str = "info"
 
 
 class Gateway:
     """A gateway process.
 
-    Adapters tell it about configurations, targets and evacuations through
-    :meth:`configure`, :meth:`put_targets`, :meth:`replace_targets`,
-    :meth:`remove_target` and :meth:`evacuate`.
+    Adapters tell it what operators and targets wrote through
+    :meth:`heard_from_store`, while :meth:`follows_store` says so.
 
     Attributes:
         settings: Its settings.
@@ -117,7 +129,17 @@
         self.gossip = Gossip(
             settings.gossip, self.book, list(settings.seeds), self.log
         )
-        self.relay = Relay(self.book, self._catch_up, self.log, self.rng)
+        self.history = TargetHistory()
+        self.following = FollowDecision(self.book)
+        self.sources_lost: set[str] = set()
+        self.relay = Relay(
+            self.gossip,
+            apply_update=self.heard_from_host,
+            log=self.log,
+            rng=self.rng,
+        )
+        self.gossip.on_update = self.heard_from_host
+        self.gossip.on_heartbeat = self._hint_if_behind
         self.front = self._server(settings.front, self.forwarder.handle)
         self.others = [
             self._server(address, self._answer)
@@ -145,7 +167,7 @@
             server.start()
         self.gossip.start()
         keep_running("tick", self._tick_forever, self.log)
-        keep_running("relay", self._relay_forever, self.log)
+        keep_running("relay", self.relay.run, self.log)
 
     def run(self, *, on_reload: Callable[[], None] | None = None) -> None:
         """Runs until the process was told to stop and has finished."""
@@ -157,120 +179,163 @@
         stop.wait()
         self._leave()
 
-    def configure(self, configuration: Configuration, *, source: str) -> None:
-        """Takes a configuration."""
-        before = self.beliefs.version
-        if not self.beliefs.configure(configuration):
-            return
-        self.front.limits = configuration.limits
-        self.log.info(
-            "configuration-applied",
-            version=configuration.version,
-            before=before,
-            routes=len(configuration.routes),
-            source=source,
-        )
-        self._update_readiness()
-
-    def replace_targets(self, records: list[TargetRecord]) -> None:
-        """Takes all targets of the registry."""
-        now = clock.steady()
-        self._changed(self.beliefs.fleet.replace_all(records, now=now))
-        self._update_readiness()
-
-    def put_target(self, record: TargetRecord) -> None:
-        """Takes what a target says of itself."""
-        change = self.beliefs.fleet.put(record, now=clock.steady())
-        self._changed([change] if change else [])
-
-    def remove_target(self, target_id: str) -> None:
-        """Takes the news that a target's record is missing."""
-        change = self.beliefs.fleet.remove(target_id, now=clock.steady())
-        self._changed([change] if change else [])
-
-    def heard_operators(self, position: int) -> None:
-        """Notes how far into the store's history operators were heard."""
-        known = self.book.own.positions
-        self._advance(known._replace(operators=position))
-
-    def heard_targets(self, position: int) -> None:
-        """Notes how far into the store's history targets were heard."""
-        known = self.book.own.positions
-        self._advance(known._replace(targets=position))
+    @property
+    def positions(self) -> Positions:
+        """How far into the store's history this host has heard."""
+        return self.book.own.positions
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose targets get nothing."""
+        return self.beliefs.fleet.evacuated
+
+    def heard_from_store(self, update: Update) -> None:
+        """Takes news of the store, and passes them on."""
+        is_news = self._is_news(update)
+        passed_on = self._as_passed_on(update)
+        self._apply(update, "store")
+        if is_news:
+            self.relay.push(passed_on)
+
+    def heard_from_host(self, update: Update, name: str) -> None:
+        """Takes news that another host passed on."""
+        if update.targets and self.history.misses(update.targets):
+            self.relay.hint.set()
+            update = update._replace(targets=None)
+        if self._is_news(update):
+            self._apply(update, name)
 
     def source_lost(self, source: str, *, reason: str) -> None:
         """Notes that a table of the store can't be read."""
-        self.relay.sources_lost.add(source)
+        self.sources_lost.add(source)
         self.log.warning("store-lost", table=source, reason=reason)
+        self.gossip.change(store=StoreAccess.AWAY)
 
     def source_returned(self, source: str, *, away_s: float) -> None:
         """Notes that a table of the store can be read again."""
-        self.relay.sources_lost.discard(source)
+        self.sources_lost.discard(source)
         self.log.info("store-regained", table=source, away_s=away_s)
 
+    def follows_store(self) -> bool:
+        """Says whether this host should follow the store now."""
+        is_wanted = self.following.decide(now=clock.steady())
+        if not is_wanted:
+            self.gossip.change(store=StoreAccess.IDLE)
+        return is_wanted
+
+    def store_answers(self) -> None:
+        """Notes that this host hears the store."""
+        if not self.sources_lost:
+            self.gossip.change(store=FOLLOWING)
+
     def registry_returned(self, *, away_s: float) -> None:
         """Notes that the targets' records can be read again."""
         fleet = self.beliefs.fleet
         fleet.registry_returned(away_s=away_s, now=clock.steady())
 
-    def evacuate(self, domains: frozenset[str]) -> None:
-        """Sets the failure domains whose targets get nothing."""
-        if self.beliefs.fleet.evacuate(domains, now=clock.steady()):
-            self.log.info("evacuations-changed", domains=",".join(domains))
-
     def _server(self, address: str, handler) -> HttpServer:
         host, _, port = address.rpartition(":")
         return HttpServer((host, int(port)), handler, self.log)
 
-    def _changed(self, changes: list[TargetChange]) -> None:
+    def _hint_if_behind(self, peer: HostState) -> None:
+        if is_ahead(peer.positions, self.positions):
+            self.relay.hint.set()
+
+    def _changed(self, changes: list[TargetChange], source: str) -> None:
         for change in changes:
             if change.event in ("gone", "restarted"):
                 self.beliefs.forget_target(change.target_id)
                 self.forwarder.pool.drop(change.target_id)
-            self.log.info(f"target-{change.event}", target=change.target_id)
-
-    def _advance(self, positions: Positions) -> None:
-        known = self.book.own.positions
-        self.gossip.advance(
-            Positions(
-                max(known.operators, positions.operators),
-                max(known.targets, positions.targets),
+            self.log.info(
+                f"target-{change.event}",
+                target=change.target_id,
+                position=self.positions.targets,
+                source=source,
             )
+
+    def _as_passed_on(self, update: Update) -> Update:
+        """Returns an update as it joins what other hosts have heard."""
+        targets = update.targets
+        if targets is None:
+            return update
+        away_s = self.beliefs.fleet.recent_absence_s(now=clock.steady())
+        before = min(targets.before, self.positions.targets)
+        return update._replace(
+            targets=targets._replace(before=before, away_s=away_s)
         )
 
-    def _catch_up(self, snapshot: Snapshot, peer: str) -> None:
-        """Takes what another host knows of the store's content."""
-        own = self.book.own.positions
-        theirs = snapshot.positions
+    def _is_news(self, update: Update) -> bool:
+        known = self.positions
+        operators, targets = update
+        has_operators = operators and operators.after > known.operators
+        has_targets = targets and targets.after > known.targets
+        return bool(has_operators or has_targets)
+
+    def _apply(self, update: Update, source: str) -> None:
+        if update.operators is not None:
+            self._apply_operators(update.operators, source)
+        if update.targets is not None:
+            self._apply_targets(update.targets, source)
+        self._update_readiness()
+
+    def _apply_operators(self, update: OperatorsUpdate, source: str) -> None:
+        known = self.positions
+        if update.configuration is not None:
+            self._configure(update.configuration, source)
+        if update.after < known.operators:
+            return
+        if self.beliefs.fleet.evacuate(update.evacuated, now=clock.steady()):
+            self.log.info(
+                "evacuations-changed",
+                domains=",".join(sorted(update.evacuated)),
+                position=update.after,
+                source=source,
+            )
+        self.gossip.advance(known._replace(operators=update.after))
+
+    def _configure(self, configuration: Configuration, source: str) -> None:
+        before = self.beliefs.version
+        if not self.beliefs.configure(configuration):
+            return
+        self.front.limits = configuration.limits
         self.log.info(
-            "snapshot-applied",
-            peer=peer,
-            operators=theirs.operators,
-            targets=theirs.targets,
-            operators_before=own.operators,
-            targets_before=own.targets,
-        )
-        if theirs.operators > own.operators:
-            if snapshot.configuration is not None:
-                self.configure(snapshot.configuration, source=peer)
-            self.evacuate(snapshot.evacuated)
-        if theirs.targets > own.targets:
-            self.replace_targets(list(snapshot.records))
-        self._advance(theirs)
-
-    def _snapshot(self) -> Snapshot:
-        targets = self.beliefs.fleet.targets.values()
-        return Snapshot(
-            positions=self.book.own.positions,
-            configuration=self.beliefs.configuration,
-            evacuated=self.beliefs.fleet.evacuated,
-            records=tuple(target.record for target in targets),
+            "configuration-applied",
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+            source=source,
         )
 
-    def _relay_forever(self) -> None:
-        while True:
-            gevent.sleep(RELAY_INTERVAL_S)
-            self.relay.step()
+    def _apply_targets(self, update: TargetsUpdate, source: str) -> None:
+        if update.after < self.positions.targets:
+            return
+        now = clock.steady()
+        fleet = self.beliefs.fleet
+        if update.away_s:
+            fleet.registry_returned(away_s=update.away_s, now=now)
+        if update.is_whole:
+            records = [c.record for c in update.changes if c.record]
+            changes = fleet.replace_all(records, now=now)
+        else:
+            changes = [_apply_change(fleet, c, now) for c in update.changes]
+        self.history.apply(update)
+        self.gossip.advance(self.positions._replace(targets=update.after))
+        self._changed([c for c in changes if c is not None], source)
+
+    def _update_since(self, positions: Positions) -> Update:
+        """Returns what a host that has heard so far is missing."""
+        own = self.positions
+        operators = None
+        if own.operators > positions.operators:
+            operators = OperatorsUpdate(
+                own.operators, self.beliefs.configuration, self.evacuated
+            )
+        targets = None
+        if own.targets > positions.targets:
+            away_s = self.beliefs.fleet.recent_absence_s(now=clock.steady())
+            targets = self.history.since(positions.targets)
+            targets = targets._replace(away_s=away_s)
+        return Update(operators, targets)
 
     def _update_readiness(self) -> None:
         is_ready = (
@@ -285,7 +350,8 @@
     def _tick_forever(self) -> None:
         while True:
             gevent.sleep(TICK_S)
-            self._changed(self.beliefs.fleet.expire(now=clock.steady()))
+            expired = self.beliefs.fleet.expire(now=clock.steady())
+            self._changed(expired, "expiry")
             self.beliefs.set_hosts(self.book.names())
             self.forwarder.pool.expire()
 
@@ -305,8 +371,9 @@
         elif self.contract.is_readiness(path):
             is_ready = self.book.own.is_ready
             exchange.respond(OK if is_ready else UNAVAILABLE, [], b"")
-        elif path == SNAPSHOT_PATH:
-            exchange.respond(OK, CBOR_HEADERS, encode(self._snapshot()))
+        elif (positions := asked_positions(path)) is not None:
+            plain = to_plain(self._update_since(positions))
+            exchange.respond(OK, CBOR_HEADERS, cbor2.dumps(plain))
         elif path.startswith(METRICS_PATH):
             body = self.metrics.text(self._gauges()).encode()
             exchange.respond(OK, TEXT_HEADERS, body)
@@ -363,4 +430,13 @@
         domain=settings.domain,
         region=settings.region,
         is_ready=False,
+        capacity=settings.capacity,
     )
+
+
+def _apply_change(
+    fleet: Fleet, change: RecordChange, now: float
+) -> TargetChange | None:
+    if change.record is None:
+        return fleet.remove(change.target_id, now=now)
+    return fleet.put(change.record, now=now)
--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -1,82 +1,128 @@
-"""Catches up from another host while the store can't be reached."""
+"""Passes news of the store on between the hosts of a region.
+
+Hosts that follow the store push small updates as datagrams. A host that
+notices by heartbeats that it missed something asks one that is ahead.
+"""
 
 import random
 from collections.abc import Callable
 
 import cbor2
 import gevent
+from gevent.event import Event
 
 from sardinewheel_gateway import clock, http_client
 from sardinewheel_gateway.errors import AnswerLostError, NotSentError
-from sardinewheel_gateway.policy.hosts import HostBook, HostState
-from sardinewheel_gateway.policy.snapshots import (
+from sardinewheel_gateway.gossip import Gossip
+from sardinewheel_gateway.policy.hosts import HostState, StoreAccess
+from sardinewheel_gateway.policy.updates import (
     Positions,
-    Snapshot,
+    Update,
     from_plain,
     to_plain,
 )
 
-SNAPSHOT_PATH = b"/v1/snapshot"
-CALL_TIMEOUT_S = 1.0
+UPDATE_PATH = b"/v1/update"
+CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.4
-RETRY_S = 0.5
+INTERVAL_S = 0.5
+SETTLE_S = 0.05
+STORE_LAG_S = 1.2
+MAX_PUSH_BYTES = 1300
 OK = 200
 
 
 class Relay:
-    """Asks other hosts for what this one missed.
+    """Tells other hosts what is new, and asks them for what was missed.
 
     Attributes:
-        book: The hosts that are known.
-        sources_lost: Tables of the store that can't be read now.
+        gossip: Datagrams to the other hosts.
+        ahead_since: Since when others know more though this host follows the
+            store.
     """
 
     def __init__(
         self,
-        book: HostBook,
-        apply_snapshot: Callable[[Snapshot, str], None],
+        gossip: Gossip,
+        *,
+        apply_update: Callable[[Update, str], None],
         log,
         rng: random.Random,
     ):
-        self.book = book
-        self.apply_snapshot = apply_snapshot
+        self.gossip = gossip
+        self.book = gossip.book
+        self.apply_update = apply_update
+        self.ahead_since: float | None = None
         self.log = log
         self.rng = rng
-        self.sources_lost: set[str] = set()
+        self.hint = Event()
+
+    def run(self) -> None:
+        """Catches up whenever this host is behind, for ever."""
+        while True:
+            self.hint.wait(INTERVAL_S)
+            self.hint.clear()
+            gevent.sleep(SETTLE_S)
+            self.step()
+
+    def push(self, update: Update) -> None:
+        """Sends an update to the hosts of this region, if it is small.
+
+        Of a larger one they learn by the next heartbeat, and ask for it.
+        """
+        data = cbor2.dumps(to_plain(update))
+        if len(data) <= MAX_PUSH_BYTES:
+            self.gossip.send_update(data)
+        else:
+            self.gossip.beat(is_far_due=False)
 
     def step(self) -> None:
-        """Catches up once, if the store is away and another host is ahead."""
-        if not self.sources_lost:
-            return
+        """Catches up once, if another host is ahead."""
         ahead = self._ahead()
         if not ahead:
+            self.ahead_since = None
+            return
+        if self._waits_for_store():
             return
         peer = self.rng.choice(ahead)
         try:
-            snapshot = self._ask(peer)
+            update = self._ask(peer)
         except (
             NotSentError,
             AnswerLostError,
             ValueError,
             cbor2.CBORDecodeError,
         ) as error:
-            self.log.warning(
-                "snapshot-not-received", peer=peer.name, error=error
-            )
+            self.log.warning("update-not-received", peer=peer.name, error=error)
             return
-        self.apply_snapshot(snapshot, peer.name)
+        self.apply_update(update, peer.name)
+
+    def _waits_for_store(self) -> bool:
+        """Says whether the store itself will tell soon what others know."""
+        if self.book.own.store is not StoreAccess.FOLLOWING:
+            return False
+        now = clock.steady()
+        if self.ahead_since is None:
+            self.ahead_since = now
+        return now - self.ahead_since < STORE_LAG_S
 
     def _ahead(self) -> list[HostState]:
-        """Returns live hosts that know more, those that know most."""
-        own = self.book.own.positions
+        """Returns live hosts that know more, those of this region first."""
+        own = self.book.own
         others = self.book.live(now=clock.steady())[1:]
-        ahead = [peer for peer in others if is_ahead(peer.positions, own)]
-        newest = max((sum(peer.positions) for peer in ahead), default=0)
-        return [peer for peer in ahead if sum(peer.positions) == newest]
+        ahead = [p for p in others if is_ahead(p.positions, own.positions)]
+        near = [peer for peer in ahead if peer.region == own.region]
+        found = near or ahead
+        newest = max((sum(peer.positions) for peer in found), default=0)
+        return [peer for peer in found if sum(peer.positions) == newest]
 
-    def _ask(self, peer: HostState) -> Snapshot:
+    def _ask(self, peer: HostState) -> Update:
+        own = self.book.own.positions
+        path = f"?operators={own.operators}&targets={own.targets}"
         outgoing = http_client.Outgoing(
-            b"GET", SNAPSHOT_PATH, [(b"host", peer.control.encode())]
+            b"GET",
+            UPDATE_PATH + path.encode(),
+            [(b"host", peer.control.encode())],
         )
         late = AnswerLostError("no answer in time")
         with gevent.Timeout(CALL_TIMEOUT_S, late):
@@ -99,6 +145,20 @@
     return theirs.operators > own.operators or theirs.targets > own.targets
 
 
-def encode(snapshot: Snapshot) -> bytes:
-    """Returns a snapshot as bytes."""
-    return cbor2.dumps(to_plain(snapshot))
+def asked_positions(path: bytes) -> Positions | None:
+    """Returns the positions in the path of a question for an update.
+
+    Examples:
+        >>> asked_positions(b"/v1/update?operators=3&targets=-1")
+        Positions(operators=3, targets=-1)
+        >>> asked_positions(b"/v1/other") is None
+        True
+    """
+    plain, _, query = path.decode("latin-1").partition("?")
+    if plain != UPDATE_PATH.decode():
+        return None
+    try:
+        pairs = dict(pair.split("=", 1) for pair in query.split("&"))
+        return Positions(int(pairs["operators"]), int(pairs["targets"]))
+    except (ValueError, KeyError):
+        return Positions()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,71 +1,86 @@
-"""A host that is cut off from the store catches up from another one."""
+"""A host that hears no store catches up from another one."""
 
 import random
 
+import cbor2
 import pytest
 from gevent.server import StreamServer
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.http_server import HttpServer
 from sardinewheel_gateway.log import Log
-from sardinewheel_gateway.policy.hosts import HostBook
-from sardinewheel_gateway.policy.snapshots import Positions
-from sardinewheel_gateway.relay import SNAPSHOT_PATH, Relay, encode
+from sardinewheel_gateway.policy.hosts import HostBook, StoreAccess
+from sardinewheel_gateway.policy.updates import Positions, to_plain
+from sardinewheel_gateway.relay import Relay, asked_positions
 
 from tests.gateway.policy.test_hosts import state
-from tests.gateway.policy.test_snapshots import SNAPSHOT
+from tests.gateway.policy.test_updates import UPDATE
+
+AHEAD = Positions(7, 9)
+NOTHING_HEARD = Positions()
 
 
-def serve_snapshot(exchange):
-    assert exchange.head.path == SNAPSHOT_PATH
-    exchange.respond(200, [], encode(SNAPSHOT))
+def serve_update(exchange):
+    assert asked_positions(exchange.head.path) == NOTHING_HEARD
+    exchange.respond(200, [], cbor2.dumps(to_plain(UPDATE)))
 
 
 @pytest.fixture
 def peer():
-    server = HttpServer(("127.0.0.1", 0), serve_snapshot, Log(host="peer"))
+    server = HttpServer(("127.0.0.1", 0), serve_update, Log(host="peer"))
     server.start()
     yield server
     server.listener.stop()
 
 
-NOTHING_HEARD = Positions()
-
-
-def relay_to(port, *, own=NOTHING_HEARD, theirs=SNAPSHOT.positions):
-    book = HostBook(state("a", positions=own))
-    known = state("b", control=f"127.0.0.1:{port}", positions=theirs)
-    book.hear(known, now=clock.steady())
-    applied = []
-    made = Relay(
-        book,
-        lambda snapshot, name: applied.append((snapshot, name)),
-        Log(host="a"),
-        random.Random(7),
-    )
-    made.sources_lost.add("op")
-    return made, applied
-
-
-def test_a_snapshot_of_a_host_that_is_ahead_is_applied(peer):
+@pytest.fixture
+def relay_to():
+    made = []
+
+    def make(port, *, own=NOTHING_HEARD, store=StoreAccess.IDLE):
+        book = HostBook(state("a", positions=own, store=store))
+        known = state("b", control=f"127.0.0.1:{port}", positions=AHEAD)
+        book.hear(known, now=clock.steady())
+        applied = []
+        gossip = Gossip("127.0.0.1:0", book, [], Log(host="a"))
+        made.append(gossip)
+        relay = Relay(
+            gossip,
+            apply_update=lambda update, name: applied.append((update, name)),
+            log=Log(host="a"),
+            rng=random.Random(7),
+        )
+        return relay, applied
+
+    yield make
+    for gossip in made:
+        gossip.stop()
+
+
+def test_an_update_of_a_host_that_is_ahead_is_applied(peer, relay_to):
     made, applied = relay_to(peer.listener.server_port)
     made.step()
-    assert applied == [(SNAPSHOT, "b")]
+    assert applied == [(UPDATE, "b")]
 
 
-def test_nothing_is_asked_while_the_store_answers(peer):
-    made, applied = relay_to(peer.listener.server_port)
-    made.sources_lost.clear()
+def test_a_host_that_follows_the_store_gives_it_time(peer, relay_to):
+    made, applied = relay_to(
+        peer.listener.server_port, store=StoreAccess.FOLLOWING
+    )
     made.step()
     assert applied == []
+    made.ahead_since -= 2.0
+    made.step()
+    assert applied == [(UPDATE, "b")]
 
 
-def test_a_host_that_is_not_ahead_is_not_asked(peer):
-    made, applied = relay_to(peer.listener.server_port, own=Positions(7, 9))
+def test_a_host_that_is_not_ahead_is_not_asked(peer, relay_to):
+    made, applied = relay_to(peer.listener.server_port, own=AHEAD)
     made.step()
     assert applied == []
 
 
-def test_an_answer_that_is_no_snapshot_is_logged_and_dropped():
+def test_an_answer_that_is_no_update_is_logged_and_dropped(relay_to):
     def babble(sock, _address):
         sock.recv(65536)
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\xff\xff")
@@ -75,5 +90,5 @@
     made, applied = relay_to(server.server_port)
     made.step()
     assert applied == []
-    assert "snapshot-not-received" in made.log.lines[-1]
+    assert "update-not-received" in made.log.lines[-1]
     server.stop()
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -4,7 +4,8 @@
 
 import pytest
 from sardinewheel_gateway.errors import StoreError
-from sardinewheel_platform.feeds import OperatorRows, TableFeed, TargetRows
+from sardinewheel_gateway.policy.updates import NOTHING_KNOWN
+from sardinewheel_platform.feeds import Decoder, TableFeed
 from sardinewheel_platform.store import Page, Row
 
 from tests.platform.test_records import CONFIGURATION, TARGET
@@ -49,93 +50,121 @@
         return answer
 
 
-def feed(*script):
+def feed(*script, position=NOTHING_KNOWN):
     gateway = FakeGateway()
-    applied = []
+    decoded = []
+
+    def decode(page, before):
+        decoded.append((page.rows, before))
+        return "update"
+
     made = TableFeed(
         FakeStore(*script),
         "servers",
-        lambda rows, is_whole: applied.append((rows, is_whole)),
-        lambda position: None,
-        gateway,
+        position=lambda: position,
+        decode=decode,
+        gateway=gateway,
     )
-    return made, gateway, applied
+    return made, gateway, decoded
+
+
+ROW = Row("a", 9, b"x")
 
 
 def test_a_table_is_read_whole_and_then_followed():
-    made, _, applied = feed(Page([], 4), Page([Row("a", b"x")], 9), Page([], 9))
+    made, _, decoded = feed(Page([], 4), Page([ROW], 9), Page([], 9))
     for _ in range(3):
-        made._step()
+        made.step()
     assert made.store.calls == [
         ("read", "servers"),
         ("changes", "servers", 4),
         ("changes", "servers", 9),
     ]
-    assert applied == [([], True), ([Row("a", b"x")], False)]
+    assert decoded == [([], NOTHING_KNOWN), ([ROW], 4)]
+
+
+def test_what_other_hosts_told_is_not_asked_again():
+    made, _, _ = feed(Page([], 4), Page([], 30), position=20)
+    made.step()
+    made.step()
+    assert made.store.calls[-1] == ("changes", "servers", 20)
+
+
+def fail(made):
+    with pytest.raises(StoreError) as caught:
+        made.step()
+    made.failed(caught.value)
 
 
 def test_an_outage_is_logged_once_and_the_feed_goes_on_where_it_was():
     made, gateway, _ = feed(
         Page([], 4), StoreError("a"), StoreError("b"), Page([], 5)
     )
-    made._step()
-    for _ in range(2):
-        with pytest.raises(StoreError) as caught:
-            made._step()
-        made._failed(caught.value)
-    made._step()
+    made.step()
+    fail(made)
+    fail(made)
+    made.step()
     assert gateway.names() == [
+        "heard_from_store",
+        "store_answers",
         "source_lost",
         "source_returned",
         "registry_returned",
+        "store_answers",
     ]
     assert made.store.calls[-1] == ("changes", "servers", 4)
 
 
 def test_lost_history_means_the_whole_table_again():
     lost = StoreError("gone", is_history_lost=True)
-    made, _, applied = feed(Page([], 4), lost, Page([], 30))
-    made._step()
-    with pytest.raises(StoreError) as caught:
-        made._step()
-    made._failed(caught.value)
-    made._step()
+    made, _, decoded = feed(Page([], 4), lost, Page([], 30))
+    made.step()
+    fail(made)
+    made.step()
     assert made.store.calls[-1] == ("read", "servers")
-    assert applied == [([], True), ([], True)]
+    assert decoded == [([], NOTHING_KNOWN), ([], NOTHING_KNOWN)]
 
 
 def value(plain):
     return json.dumps(plain).encode()
 
 
+class Evacuated(FakeGateway):
+    """A gateway that already knows an evacuation."""
+
+    evacuated = frozenset({"north-b"})
+
+
 def test_operators_rows_become_a_configuration_and_evacuations():
-    gateway = FakeGateway()
-    rows = OperatorRows(gateway)
-    rows.apply(
-        [
-            Row("config", value(CONFIGURATION)),
-            Row("evacuate/north-a", b"{}"),
-            Row("evacuate/north-b", b"{}"),
-        ],
-        True,
-    )
-    rows.apply([Row("evacuate/north-a", None)], False)
-    evacuated = [told[1] for told in gateway.told if told[0] == "evacuate"]
-    assert "configure" in gateway.names()
-    assert evacuated == [{"north-a", "north-b"}, {"north-b"}]
+    rows = [
+        Row("config", 8, value(CONFIGURATION)),
+        Row("evacuate/north-a", 9, b"{}"),
+    ]
+    update = Decoder(Evacuated()).operators(Page(rows, 30), 5).operators
+    assert update.configuration.version == 7
+    assert update.evacuated == {"north-a", "north-b"}
+    assert update.after == 9
+
+
+def test_an_evacuation_taken_back_ends():
+    rows = [Row("evacuate/north-b", 9, None)]
+    update = Decoder(Evacuated()).operators(Page(rows, 9), 5).operators
+    assert update.evacuated == frozenset()
 
 
 def test_an_evacuation_taken_back_while_away_is_not_kept():
-    gateway = FakeGateway()
-    rows = OperatorRows(gateway)
-    rows.apply([Row("evacuate/north-a", b"{}")], True)
-    rows.apply([], True)
-    assert gateway.told[-1] == ("evacuate", frozenset())
+    page = Page([], 30)
+    update = Decoder(Evacuated()).operators(page, NOTHING_KNOWN).operators
+    assert update.evacuated == frozenset()
+    assert update.after == 30
 
 
 def test_an_entry_that_turned_unreadable_names_no_target():
     gateway = FakeGateway()
-    rows = TargetRows(gateway)
-    rows.apply([Row("t1", value(TARGET))], False)
-    rows.apply([Row("t1", b"\xff")], False)
-    assert gateway.names() == ["put_target", "warning", "remove_target"]
+    rows = [Row("t1", 8, value(TARGET)), Row("t2", 9, b"\xff")]
+    update = Decoder(gateway).targets(Page(rows, 9), 5).targets
+    assert [(c.target_id, c.record is None) for c in update.changes] == [
+        ("t1", False),
+        ("t2", True),
+    ]
+    assert gateway.names() == ["warning"]
