Log each decision on a request within a stated rate; wait longer for the target that knows the object

Placement: the second target serves from 2 times the slots of the first (1.34 before), refusals begin at 2.67 (2), urgent ones at 3.67 (3).

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -69,6 +69,12 @@
     placed: Placed
     exchange: ClientExchange
 
+    @property
+    def is_good(self) -> bool:
+        """Whether the target executed the request and did not fail."""
+        is_success = self.incoming.status < FIRST_ERROR_STATUS
+        return is_success and self.verdict.was_executed
+
 
 class NotSent(NamedTuple):
     """The target got no byte of the request."""
@@ -219,6 +225,15 @@
         self.beliefs.requested(self.service, clock.steady())
         try:
             self._run()
+        except gevent.GreenletExit:
+            self.forwarder.log.info(
+                "request-cancelled",
+                request=self.caller.request_id,
+                route=self.route.name,
+                tried=",".join(self.tried),
+                took_s=clock.steady() - self.exchange.head.received_at,
+            )
+            raise
         finally:
             self._release(self.last)
 
@@ -239,10 +254,31 @@
                 return
             self._release(last)
             self.last = self._attempt(choice, now)
+            self._log_attempt(choice, self.last, now)
             if self._is_final(self.last):
                 self._finish(self.last)
                 return
 
+    def _log_attempt(
+        self, placed: Placed, attempt: Attempt, began: float
+    ) -> None:
+        log = self.forwarder.log
+        is_good = isinstance(attempt, Answered) and attempt.is_good
+        (log.request if is_good else log.info)(
+            "attempt-ended",
+            request=self.caller.request_id,
+            outcome=type(attempt).__name__.lower(),
+            detail=_detail(attempt),
+            target=placed.target.record.target_id,
+            choice=placed.choice,
+            load=placed.load,
+            load_age_s=placed.load_age_s,
+            cold=placed.target.is_cold(began),
+            waited_s=began - self.exchange.head.received_at,
+            took_s=clock.steady() - began,
+            left_s=self.deadline - clock.steady(),
+        )
+
     def _ask(self) -> Ask:
         return Ask(
             service=self.service,
@@ -488,7 +524,7 @@
         )
         is_late = took_s > self.route.objective_s
         log = self.forwarder.log
-        (log.info if is_late or not is_success else log.debug)(
+        (log.info if is_late or not is_success else log.request)(
             "request-answered",
             request=self.caller.request_id,
             status=incoming.status,
@@ -521,6 +557,16 @@
         self.exchange.finish()
 
 
+def _detail(attempt: Attempt) -> str:
+    """Returns what an attempt ended with, for the log."""
+    match attempt:
+        case Answered(incoming):
+            return str(incoming.status)
+        case NotSent(reason) | Lost(reason):
+            return reason
+    return ""
+
+
 def _take_body(exchange: Exchange) -> Body:
     """Returns a request's body; a large one is streamed."""
     start = bytearray()
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -15,14 +15,15 @@
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.targets import Fleet, Target
 
-SPILL_LOAD = 1.34
-FULL_LOAD = 2.0
-URGENT_FULL_LOAD = 3.0
+SPILL_LOAD = 2.0
+FULL_LOAD = 2.67
+URGENT_FULL_LOAD = 3.67
 ERROR_SHARE_LIMIT = 0.35
 MIN_RETURN_S = 0.1
 MAX_RETURN_S = 1.0
 RETURN_JITTER = 0.5
 NO_TARGET_RETURN_S = 0.5
+NEVER_REPORTED_S = 999.0
 
 
 class Ask(NamedTuple):
@@ -50,11 +51,13 @@
         target: The target.
         load: Requests that it probably held, relative to its slots.
         choice: Which rank of the object's targets it was.
+        load_age_s: Seconds since the target reported its load.
     """
 
     target: Target
     load: float
     choice: str
+    load_age_s: float = 0.0
 
 
 class Refused(NamedTuple):
@@ -140,7 +143,8 @@
         rest = [x for x in by_id if x not in preferred]
         self.rng.shuffle(rest)
         others = self._open(rest, by_id, ask, now)
-        return sorted(others, key=lambda placed: placed.load)[:1]
+        spare = sorted(others, key=lambda placed: placed.load)[:1]
+        return [placed._replace(choice="spare") for placed in spare]
 
     def _preferred(self, ask: Ask, ids: tuple[str, ...]) -> list[str]:
         if not ask.object_key:
@@ -169,7 +173,8 @@
             if not self._admits_cold(target, now):
                 continue
             relative = load.estimate(now) / max(1, target.record.slots)
-            found.append(Placed(target, relative, f"rank-{rank}"))
+            age_s = min(NEVER_REPORTED_S, now - load.reported_at)
+            found.append(Placed(target, relative, f"rank-{rank}", age_s))
         return found
 
     def _admits_cold(self, target: Target, now: float) -> bool:
