--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -15,6 +15,7 @@
 from sardinewheel_gateway.policy.hosts import (
     HostBook,
     HostState,
+    Pulse,
     StoreAccess,
 )
 from sardinewheel_gateway.policy.objects import ObjectUse
@@ -33,6 +34,8 @@
 HEARTBEAT = 1
 UPDATE = 2
 OBJECTS = 3
+PULSE = 4
+WHOLE_EVERY = 10
 MAX_OBJECTS_PER_DATAGRAM = 30
 
 
@@ -72,13 +75,18 @@
         self.sock.close()
 
     def beat(self, *, is_far_due: bool = True) -> None:
-        """Sends this host's state to the hosts that it knows."""
+        """Sends this host's state to the hosts that it knows.
+
+        Near hosts mostly get the part that changes only.
+        """
         own = self.book.own
-        self.book.own = own._replace(sequence=own.sequence + 1)
+        own = self.book.own = own._replace(sequence=own.sequence + 1)
+        is_whole = own.sequence <= WHOLE_EVERY or is_far_due
+        message = _heartbeat(own, []) if is_whole else _pulse(own)
+        data = cbor2.dumps(message)
         addresses = self._near()
         if is_far_due:
             addresses |= self._far().union(self.seeds) - {own.gossip}
-        data = cbor2.dumps(_heartbeat(self.book.own, []))
         for address in addresses:
             self._send(address, data)
 
@@ -156,6 +164,11 @@
         if kind == HEARTBEAT:
             _, state, introduced = message
             self._take_heartbeat(_state(state), introduced)
+        elif kind == PULSE:
+            pulse = Pulse(*message[1])
+            state = self.book.state_of(pulse)
+            if state is not None:
+                self._take_heartbeat(_state(state), [])
         elif kind == UPDATE:
             _, name, data = message
             self.on_update(from_plain(cbor2.loads(data)), name)
@@ -196,6 +209,10 @@
     return [HEARTBEAT, tuple(own), [tuple(x) for x in introduced]]
 
 
+def _pulse(own: HostState) -> list:
+    return [PULSE, tuple(Pulse.of(own))]
+
+
 def _state(plain: list) -> HostState:
     state = HostState(*plain)
     return state._replace(
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -51,6 +51,38 @@
     positions: Positions = Positions()
 
 
+class Pulse(NamedTuple):
+    """The part of a host's state that changes, in most heartbeats alone.
+
+    Attributes:
+        name: Name of the host.
+        incarnation: Start of its process.
+        sequence: Counts its heartbeats.
+        is_ready: Whether callers may be sent to it.
+        store: Whether it follows the store.
+        positions: How far into the store's history it has heard.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    is_ready: bool
+    store: StoreAccess
+    positions: Positions
+
+    @classmethod
+    def of(cls, state: HostState) -> "Pulse":
+        """Returns what changes of a state."""
+        return cls(
+            state.name,
+            state.incarnation,
+            state.sequence,
+            state.is_ready,
+            state.store,
+            state.positions,
+        )
+
+
 class Peer(NamedTuple):
     """Another host and when it was last heard of."""
 
@@ -82,6 +114,13 @@
             return True
         return _lasting(known.state) != _lasting(state)
 
+    def state_of(self, pulse: Pulse) -> HostState | None:
+        """Returns the whole state behind a pulse, if its start is known."""
+        known = self.peers.get(pulse.name)
+        if known is None or known.state.incarnation != pulse.incarnation:
+            return None
+        return known.state._replace(**pulse._asdict())
+
     def introduce(self, state: HostState, *, now: float) -> bool:
         """Takes word of a host that was not heard from directly."""
         if state.name == self.own.name or state.name in self.peers:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -5,7 +5,8 @@
 from gevent import socket
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.log import Log
-from sardinewheel_gateway.policy.hosts import HostBook
+from sardinewheel_gateway.policy.hosts import HostBook, Pulse
+from sardinewheel_gateway.policy.updates import Positions
 
 from tests.gateway.house import wait_until
 from tests.gateway.policy.test_hosts import state
@@ -51,6 +52,23 @@
     wait_until(lambda: not hosts[2].book.peers["b"].state.is_ready, 0.5)
 
 
+def test_a_pulse_carries_what_changed(hosts):
+    for gossip in hosts:
+        gossip.start()
+    wait_until(lambda: all(len(g.book.peers) == 2 for g in hosts))
+    own = hosts[1].book.own
+    hosts[1].book.own = own._replace(sequence=100)
+    hosts[1].advance(Positions(7, 9))
+    hosts[1].beat(is_far_due=False)
+    wait_until(lambda: hosts[2].book.peers["b"].state.positions == (7, 9), 0.2)
+    assert hosts[2].book.peers["b"].state.front == own.front
+
+
+def test_a_pulse_of_an_unknown_start_is_no_sign_of_a_host(hosts):
+    pulse = Pulse.of(state("b", incarnation=9))
+    assert hosts[0].book.state_of(pulse) is None
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x83\x01\x02\x03", b"\x80"])
 def test_a_datagram_that_is_no_heartbeat_changes_nothing(hosts, data):
     hosts[0].start()
