--- /dev/null
+++ b/tests/platform/stand_ins.py
@@ -0,0 +1,282 @@
+"""Stand-ins for the store and the targets of the users' platform."""
+
+import base64
+import contextlib
+import hashlib
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+READ_BYTES = 65536
+SLOTS = 4
+
+
+def read_request(sock, data):
+    """Returns head lines, body and what follows; nothing at the end."""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(READ_BYTES)
+        if not more:
+            return None
+        data += more
+    head, _, data = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    while len(data) < length:
+        more = sock.recv(READ_BYTES)
+        if not more:
+            return None
+        data += more
+    return lines[0].split(" "), headers, data[:length], data[length:]
+
+
+class Store:
+    """The store: rows, reads and feeds; it can be told to misbehave.
+
+    Attributes:
+        mode: ``ok``, ``busy`` (503), ``silent`` or ``reset``.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.changed = Event()
+        self.mode = "ok"
+        self.calls = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def put(self, table, key, value):
+        """Writes a row; ``None`` drops it."""
+        self.version += 1
+        data = None if value is None else json.dumps(value).encode()
+        self.rows[table, key] = (self.version, data)
+        self.changed.set()
+        self.changed.clear()
+
+    def _serve(self, sock, _address):
+        data = b""
+        while True:
+            try:
+                request = read_request(sock, data)
+            except OSError:
+                return
+            if request is None:
+                return
+            line, _, _, data = request
+            self.calls += 1
+            if self.mode == "reset":
+                return
+            if self.mode == "silent":
+                gevent.sleep(3600)
+            status, plain = 503, {}
+            if self.mode == "ok":
+                status, plain = 200, self._answer(line[1])
+            body = json.dumps(plain).encode()
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            try:
+                sock.sendall(head.encode() + body)
+            except OSError:
+                return
+
+    def _answer(self, path):
+        split = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(split.query).items()}
+        table = query["Table"]
+        if split.path == "/rows-get":
+            rows = self._rows(table, after=-1, dropped=False)
+            return {"Rows": rows, "HasMore": False, "Ver": self.version}
+        deadline = time.monotonic() + int(query["WaitMs"]) / 1000
+        while True:
+            rows = self._rows(table, after=int(query["after"]), dropped=True)
+            left = deadline - time.monotonic()
+            if rows or left <= 0 or self.mode != "ok":
+                return {"Rows": rows, "Ver": self.version}
+            self.changed.wait(min(left, 0.5))
+
+    def _rows(self, table, *, after, dropped):
+        found = []
+        for (row_table, key), (version, data) in self.rows.items():
+            if row_table != table or version <= after:
+                continue
+            row = {"Table": table, "part": "", "Key": key, "Ver": version}
+            if data is None:
+                row["Deleted"] = True
+                if dropped:
+                    found.append(row)
+            else:
+                found.append(row | {"Value": base64.b64encode(data).decode()})
+        return sorted(found, key=lambda row: row["Ver"])
+
+
+def body_of(request_id):
+    """Returns the answer that a target gives to a request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+
+
+class Target:
+    """A target that registers itself and counts what it executes.
+
+    Attributes:
+        executed: How often each request id was executed, over all targets.
+        fault: ``""``, ``lose`` (runs it, no answer), ``shed``, ``extra`` or
+            ``half``; for a part of the requests.
+    """
+
+    def __init__(self, name, store, executed, *, service, rng):
+        self.name = name
+        self.store = store
+        self.executed = executed
+        self.service = service
+        self.rng = rng
+        self.fault = ""
+        self.running = 0
+        self.connections = set()
+        self.server = None
+        self.start()
+
+    def start(self, *, is_draining=False):
+        """Listens, and registers as a new start."""
+        if self.server is None:
+            self.server = StreamServer(("127.0.0.1", 0), self._serve)
+            self.server.start()
+            self.born = int(time.time() * 1000)
+        self.store.put(
+            "servers",
+            self.name,
+            {
+                "Service": self.service,
+                "Address": f"127.0.0.1:{self.server.server_port}",
+                "Zone": "north-a",
+                "CfgVersion": "v1",
+                "Slots": SLOTS,
+                "OperState": "draining" if is_draining else "in_service",
+                "ColdLeft": "0ms",
+                "Sequence": 1,
+                "born": self.born,
+            },
+        )
+
+    def drain(self):
+        """Says that it leaves; goes on serving."""
+        self.start(is_draining=True)
+
+    def crash(self):
+        """Ends at once; its record stays."""
+        if self.server is not None:
+            self.server.stop()
+            self.server = None
+        for sock in list(self.connections):
+            sock.close()
+
+    def _serve(self, sock, _address):
+        self.connections.add(sock)
+        try:
+            self._serve_requests(sock)
+        except OSError:
+            pass
+        finally:
+            self.connections.discard(sock)
+            sock.close()
+
+    def _serve_requests(self, sock):
+        data = b""
+        while request := read_request(sock, data):
+            _, headers, _, data = request
+            request_id = headers["sardinewheel-attempt-id"]
+            if headers["sardinewheel-target-instance"] != self.name:
+                self._send(sock, request_id, 421, b"")
+                continue
+            fault = self.fault if self.rng.random() < 0.3 else ""
+            if fault == "shed" or self.running >= SLOTS * 4:
+                more = "Sardinewheel-Not-Executed: 1\r\n"
+                self._send(sock, request_id, 503, b"", more)
+                continue
+            self._execute(sock, request_id, fault)
+            if fault in ("lose", "half"):
+                return
+
+    def _execute(self, sock, request_id, fault):
+        self.executed[request_id] = self.executed.get(request_id, 0) + 1
+        self.running += 1
+        gevent.sleep(self.rng.uniform(0.005, 0.05))
+        self.running -= 1
+        if fault == "lose":
+            return
+        body = body_of(request_id)
+        if fault == "half":
+            self._send(sock, request_id, 200, body, cut=20)
+            return
+        self._send(sock, request_id, 200, body)
+        if fault == "extra":
+            self._send(sock, request_id, 200, body)
+
+    def _send(self, sock, request_id, status, body, more="", cut=0):
+        seal = "Sardinewheel-Server-Seal: x\r\n" if status == 200 else ""
+        load = f"{self.running},0,{SLOTS}"
+        head = (
+            f"HTTP/1.1 {status} X\r\nSardinewheel-Attempt-Id: {request_id}\r\n"
+            f"{seal}{more}Sardinewheel-Server-Load: {load}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        data = head.encode() + body
+        sock.sendall(data[: len(data) - cut])
+
+
+class Link:
+    """A relay on loopback that delays, cuts one way, silences or resets.
+
+    Attributes:
+        mode: ``ok``, ``delay``, ``silent``, ``one_way`` or ``reset``.
+    """
+
+    def __init__(self, target_address):
+        host, _, port = target_address.rpartition(":")
+        self.target = (host, int(port))
+        self.mode = "ok"
+        self.server = StreamServer(("127.0.0.1", 0), self._relay)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def _relay(self, sock, _address):
+        try:
+            other = socket.create_connection(self.target, timeout=1.0)
+        except OSError:
+            sock.close()
+            return
+        other.settimeout(None)
+        back = gevent.spawn(self._pump, other, sock, True)
+        self._pump(sock, other, False)
+        back.join(1.0)
+
+    def _pump(self, source, sink, is_back):
+        try:
+            while data := source.recv(READ_BYTES):
+                if self.mode == "delay":
+                    gevent.sleep(0.1)
+                if self.mode == "reset":
+                    break
+                is_cut = self.mode == "one_way" and is_back
+                if self.mode != "silent" and not is_cut:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        finally:
+            for sock in (source, sink):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
