Revert "Try telling hosts which targets fail"

Where most targets of a service slow down together, all hosts leave them at once, and their objects run cold elsewhere.

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -382,13 +382,11 @@
     def _unreachable(self, placed: Placed, reason: str) -> NotSent:
         record = placed.target.record
         self.unreachable.append(record.target_id)
-        self.beliefs.target_unreachable(placed.target, clock.steady())
-        self._log_target_failed(placed, reason)
+        self._target_failed(placed, reason)
         return NotSent(reason)
 
     def _lost(self, placed: Placed, reason: str) -> Lost:
-        self.beliefs.target_failed(placed.target, clock.steady())
-        self._log_target_failed(placed, reason)
+        self._target_failed(placed, reason)
         return Lost(reason)
 
     def _timed_out(self, placed: Placed, sent_at: float) -> None:
@@ -402,9 +400,10 @@
                 waited_s=clock.steady() - sent_at,
             )
 
-    def _log_target_failed(self, placed: Placed, reason: str) -> None:
+    def _target_failed(self, placed: Placed, reason: str) -> None:
         record = placed.target.record
         self.forwarder.pool.drop(record.target_id)
+        self.beliefs.target_failed(placed.target, clock.steady())
         self.forwarder.log.warning(
             "target-failed",
             request=self.caller.request_id,
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -18,7 +18,6 @@
     Pulse,
     StoreAccess,
 )
-from sardinewheel_gateway.policy.loads import HealthNews
 from sardinewheel_gateway.policy.objects import ObjectUse
 from sardinewheel_gateway.policy.updates import (
     Positions,
@@ -36,8 +35,6 @@
 UPDATE = 2
 OBJECTS = 3
 PULSE = 4
-HEALTH = 5
-MAX_HEALTH_PER_DATAGRAM = 30
 WHOLE_EVERY = 10
 MAX_OBJECTS_PER_DATAGRAM = 30
 
@@ -51,7 +48,6 @@
         on_update: Called with an update and the name of who sent it.
         on_heartbeat: Called with the sender after a heartbeat was taken.
         on_objects: Called with objects that another host found out.
-        on_health: Called with what another host found out about targets.
     """
 
     def __init__(self, address: str, book: HostBook, seeds: list[str], log):
@@ -61,7 +57,6 @@
         self.on_update: Callable[[Update, str], None] = _ignore
         self.on_heartbeat: Callable[[HostState], None] = _ignore
         self.on_objects: Callable[[list[ObjectUse]], None] = _ignore
-        self.on_health: Callable[[list[HealthNews]], None] = _ignore
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
@@ -124,24 +119,11 @@
 
     def send_objects(self, uses: list[ObjectUse]) -> None:
         """Tells the hosts of this region which objects this one found out."""
-        self._send_parts(OBJECTS, uses, MAX_OBJECTS_PER_DATAGRAM, self._near())
-
-    def send_health(self, news: list[HealthNews]) -> None:
-        """Tells all hosts what this one found out about targets."""
-        self._send_parts(
-            HEALTH,
-            news,
-            MAX_HEALTH_PER_DATAGRAM,
-            self._near() | self._far(),
-        )
-
-    def _send_parts(
-        self, kind: int, items: list, size: int, addresses: set[str]
-    ) -> None:
-        for start in range(0, len(items), size):
-            plain = [tuple(item) for item in items[start : start + size]]
-            data = cbor2.dumps([kind, plain])
-            for address in addresses:
+        step = MAX_OBJECTS_PER_DATAGRAM
+        for start in range(0, len(uses), step):
+            plain = [tuple(use) for use in uses[start : start + step]]
+            data = cbor2.dumps([OBJECTS, plain])
+            for address in self._near():
                 self._send(address, data)
 
     def _near(self) -> set[str]:
@@ -192,8 +174,6 @@
             self.on_update(from_plain(cbor2.loads(data)), name)
         elif kind == OBJECTS:
             self.on_objects([ObjectUse(*use) for use in message[1]])
-        elif kind == HEALTH:
-            self.on_health([HealthNews(*news) for news in message[1]])
 
     def _take_heartbeat(self, sender: HostState, introduced: list) -> None:
         now = clock.steady()
--- a/packages/gateway/sardinewheel_gateway/policy/beliefs.py
+++ b/packages/gateway/sardinewheel_gateway/policy/beliefs.py
@@ -1,15 +1,10 @@
 """All that a host believes: what is in force, its targets and their state."""
 
 import random
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from sardinewheel_gateway.policy.cold import ColdAdmission, ColdBound
-from sardinewheel_gateway.policy.loads import (
-    HealthNews,
-    LoadBook,
-    ReportedLoad,
-)
+from sardinewheel_gateway.policy.loads import LoadBook, ReportedLoad
 from sardinewheel_gateway.policy.placement import Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
@@ -55,7 +50,6 @@
         rng: random.Random,
     ):
         self.bounds = bounds
-        self.rng = rng
         self.configuration: Configuration | None = None
         self.table = RouteTable(())
         self.splits = SplitChooser()
@@ -127,12 +121,11 @@
         now: float,
     ) -> None:
         """Learns from a target's answer."""
-        target_id = target.record.target_id
-        load = self.loads.of(target_id)
+        load = self.loads.of(target.record.target_id)
         if answer.is_other_target:
             load.failed(now=now)
             return
-        self.loads.answered(target_id, is_error=is_error, now=now)
+        load.answered(is_error=is_error, now=now)
         if answer.load is not None:
             load.report(answer.load, now=now)
 
@@ -140,17 +133,6 @@
         """Learns that a target can't be reached or broke off."""
         self.loads.of(target.record.target_id).failed(now=now)
 
-    def target_unreachable(self, target: Target, now: float) -> None:
-        """Learns that no connection to a target could be made."""
-        self.loads.unreachable(target.record.target_id, now=now)
-
-    def told_health(self, uses: Iterable[HealthNews], now: float) -> None:
-        """Takes what another host found out about targets."""
-        for news in uses:
-            if news.target_id in self.fleet.targets:
-                delay = 1.0 + self.rng.random()
-                self.loads.told(news, delay=delay, now=now)
-
     def target_timed_out(
         self, target: Target, sent_at: float, now: float
     ) -> bool:
@@ -161,7 +143,7 @@
         load = self.loads.of(target.record.target_id)
         if load.answered_at >= sent_at:
             return False
-        self.loads.silent(target.record.target_id, now=now)
+        load.failed(now=now)
         return True
 
     def set_hosts(self, names: tuple[str, ...]) -> None:
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -5,8 +5,6 @@
 REPORT_AGE_S = 2.0
 FIRST_BACKOFF_S = 0.4
 MAX_BACKOFF_S = 3.0
-SILENT_FAILURES = 2
-RECENT_ANSWER_S = 0.5
 FAILURE_WEIGHT = 0.15
 WORK_WEIGHT = 0.1
 
@@ -25,20 +23,6 @@
     slots: int
 
 
-class HealthNews(NamedTuple):
-    """What a host found out about a target, for the other hosts.
-
-    Attributes:
-        target_id: The target.
-        failures: Failures in a row; 0 if it answers again.
-        pause_s: Seconds for which it should be left alone.
-    """
-
-    target_id: str
-    failures: int
-    pause_s: float
-
-
 class TargetLoad:
     """Load and health of one target.
 
@@ -50,7 +34,6 @@
         failures: Connection failures in a row.
         error_share: Part of its recent answers that were failures.
         answered_at: When it last answered, on the steady clock.
-        told_until: Until when word of another host about it holds.
     """
 
     def __init__(self):
@@ -61,7 +44,6 @@
         self.failures = 0
         self.error_share = 0.0
         self.answered_at = float("-inf")
-        self.told_until = float("-inf")
 
     def report(self, load: ReportedLoad, *, now: float) -> None:
         """Takes a load report; the answered request is still in flight."""
@@ -83,32 +65,12 @@
         self.retry_at = now + pause
         return pause
 
-    def told(self, news: HealthNews, *, delay: float, now: float) -> None:
-        """Takes word of another host.
-
-        Args:
-            news: What the host found out.
-            delay: Factor on the pause, so that hosts don't try all at once.
-            now: Seconds of the steady clock.
-        """
-        if not news.failures:
-            if self.failures and self.in_flight == 0:
-                self.failures = 0
-            return
-        if self.answered_at > now - RECENT_ANSWER_S:
-            return
-        self.failures = max(self.failures, news.failures)
-        self.told_until = now + news.pause_s
-        self.retry_at = max(self.retry_at, now + news.pause_s * delay)
-
-    def answered(self, *, is_error: bool, now: float) -> bool:
-        """Notes an answer of the target; says whether it had failed."""
-        was_down = self.failures > 0
+    def answered(self, *, is_error: bool, now: float) -> None:
+        """Notes an answer of the target."""
         self.answered_at = now
         self.failures = 0
         self.retry_at = float("-inf")
         self.error_share += FAILURE_WEIGHT * (is_error - self.error_share)
-        return was_down
 
     def is_down(self, now: float) -> bool:
         """Says whether the target can't be used for now.
@@ -121,55 +83,10 @@
 
 
 class LoadBook:
-    """Loads of all targets, by id.
-
-    Attributes:
-        loads: Load by target id.
-        news: What other hosts should know, by target id.
-    """
+    """Loads of all targets, by id."""
 
     def __init__(self):
         self.loads: dict[str, TargetLoad] = {}
-        self.news: dict[str, HealthNews] = {}
-
-    def unreachable(self, target_id: str, *, now: float) -> None:
-        """Notes that no connection to a target could be made."""
-        load = self.of(target_id)
-        pause_s = load.failed(now=now)
-        self._tell(target_id, load, pause_s, now)
-
-    def silent(self, target_id: str, *, now: float) -> None:
-        """Notes that a target answered nobody within a request's time.
-
-        One long request is no sign; others hear of a second one in a row.
-        """
-        load = self.of(target_id)
-        pause_s = load.failed(now=now)
-        if load.failures >= SILENT_FAILURES:
-            self._tell(target_id, load, pause_s, now)
-
-    def answered(self, target_id: str, *, is_error: bool, now: float) -> None:
-        """Notes an answer of a target."""
-        load = self.of(target_id)
-        if load.answered(is_error=is_error, now=now):
-            self.news[target_id] = HealthNews(target_id, 0, 0.0)
-
-    def told(self, news: HealthNews, *, delay: float, now: float) -> None:
-        """Takes word of another host."""
-        self.of(news.target_id).told(news, delay=delay, now=now)
-
-    def take_news(self) -> list[HealthNews]:
-        """Returns what other hosts should know, once."""
-        news, self.news = self.news, {}
-        return list(news.values())
-
-    def _tell(
-        self, target_id: str, load: TargetLoad, pause_s: float, now: float
-    ) -> None:
-        """Leaves news for others, unless another host has just told it."""
-        if now >= load.told_until:
-            news = HealthNews(target_id, load.failures, pause_s)
-            self.news[target_id] = news
 
     def of(self, target_id: str) -> TargetLoad:
         """Returns the load of a target."""
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -25,7 +25,6 @@
     StoreAccess,
     entry_hosts,
 )
-from sardinewheel_gateway.policy.loads import HealthNews
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.targets import Fleet, TargetChange
 from sardinewheel_gateway.policy.updates import (
@@ -143,7 +142,6 @@
         self.gossip.on_update = self.heard_from_host
         self.gossip.on_heartbeat = self._hint_if_behind
         self.gossip.on_objects = self.beliefs.placer.objects.learn
-        self.gossip.on_health = self._told_health
         self.front = self._server(settings.front, self.forwarder.handle)
         self.others = [
             self._server(address, self._answer)
@@ -241,16 +239,6 @@
         host, _, port = address.rpartition(":")
         return HttpServer((host, int(port)), handler, self.log)
 
-    def _told_health(self, news: list[HealthNews]) -> None:
-        self.beliefs.told_health(news, clock.steady())
-        for item in news:
-            self.log.info(
-                "target-health-told",
-                target=item.target_id,
-                failures=item.failures,
-                pause_s=item.pause_s,
-            )
-
     def _hint_if_behind(self, peer: HostState) -> None:
         if is_ahead(peer.positions, self.positions):
             self.relay.hint.set()
@@ -373,7 +361,6 @@
             self.beliefs.set_hosts(self.book.names())
             self.beliefs.placer.objects.refresh()
             self.gossip.send_objects(self.beliefs.placer.objects.take_news())
-            self.gossip.send_health(self.beliefs.loads.take_news())
             self.forwarder.pool.expire()
 
     def _answer(self, exchange: Exchange) -> None:
