Answer all that was read before a leaving host closes; split the large modules

Cause, found by reading: a leaving host put 'Connection: close' on the next answer, though requests pipelined behind it had been read and passed on; their callers send them again. Change: the last request that was read closes the connection, and nothing behind it is read. The test failed before.

Split: attempts (one attempt at a target) and exchange (a request and its answer) out of forwarding and http_server; news (what was heard of operators and targets) out of process; the soak's process out of the soak. No other change of behaviour.

--- a/packages/gateway/sardinewheel_gateway/http_server.py
+++ b/packages/gateway/sardinewheel_gateway/http_server.py
@@ -8,8 +8,7 @@
 
 import socket as std_socket
 from collections import deque
-from collections.abc import Callable, Iterator
-from http import HTTPStatus
+from collections.abc import Callable
 
 import gevent
 import h11
@@ -19,7 +18,8 @@
 
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.errors import BodyTooLargeError, CallerGoneError
-from sardinewheel_gateway.messages import Headers, RequestHead, value_of
+from sardinewheel_gateway.exchange import Exchange
+from sardinewheel_gateway.messages import RequestHead, value_of
 from sardinewheel_gateway.policy.routes import Limits
 
 READ_BLOCK_BYTES = 64 * 1024
@@ -35,100 +35,6 @@
 INTERNAL_ERROR = 500
 
 
-class Exchange:
-    """One request of a caller and the answer to it.
-
-    Attributes:
-        head: Request line and headers.
-        parser: Frames this request and its answer.
-        turn: Set when all earlier answers of the connection have left.
-        has_begun: Whether bytes of the answer may have left.
-        is_done: Whether the answer is complete.
-    """
-
-    def __init__(self, connection: "ServerConnection", parser, head):
-        self.connection = connection
-        self.parser = parser
-        self.head: RequestHead = head
-        self.turn = Event()
-        self.has_begun = False
-        self.is_done = False
-        self.chunks: deque[bytes] = deque()
-        self.received = 0
-        self.body_error: Exception | None = None
-        self.body_is_complete = False
-        self.body_changed = Event()
-        self.body_taken = Event()
-
-    def body(self) -> Iterator[bytes]:
-        """Yields the request's body.
-
-        Raises:
-            BodyTooLargeError: It is larger than allowed.
-            CallerGoneError: It ended early.
-        """
-        while True:
-            while self.chunks:
-                chunk = self.chunks.popleft()
-                self.body_taken.set()
-                yield chunk
-            if self.body_error is not None:
-                raise self.body_error
-            if self.body_is_complete:
-                return
-            self.body_changed.clear()
-            self.body_changed.wait()
-
-    @property
-    def body_is_too_large(self) -> bool:
-        """Whether the request's body exceeded the limit."""
-        return isinstance(self.body_error, BodyTooLargeError)
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a whole answer."""
-        length = (b"content-length", str(len(body)).encode())
-        framed = [(k, v) for k, v in headers if k != b"content-length"]
-        self.begin(status, [*framed, length])
-        self.send(body)
-        self.finish()
-
-    def begin(self, status: int, headers: Headers) -> None:
-        """Sends status and headers of an answer."""
-        self.turn.wait()
-        self.has_begun = True
-        if self.connection.must_close(self):
-            headers = [*headers, (b"connection", b"close")]
-        self._write(
-            h11.Response(
-                status_code=status, headers=headers, reason=_reason(status)
-            )
-        )
-
-    def send(self, data: bytes) -> None:
-        """Sends a part of the answer's body."""
-        if data and self.head.method != b"HEAD":
-            self._write(h11.Data(data=data))
-
-    def finish(self) -> None:
-        """Ends the answer."""
-        self._write(h11.EndOfMessage())
-        self.is_done = True
-        self.connection.finished(self)
-
-    def abort(self) -> None:
-        """Ends the connection, so that the answer looks incomplete."""
-        self.connection.break_off()
-
-    def _write(self, event) -> None:
-        try:
-            data = self.parser.send(event)
-        except h11.LocalProtocolError as error:
-            self.connection.break_off()
-            raise CallerGoneError(str(error)) from error
-        if data:
-            self.connection.write(data)
-
-
 Handler = Callable[[Exchange], None]
 
 
@@ -138,6 +44,7 @@
     Attributes:
         sock: Its socket.
         exchanges: Requests whose answers aren't complete, in order.
+        closes_after: Request whose answer ends the connection, once known.
     """
 
     def __init__(self, sock, server: "HttpServer"):
@@ -159,8 +66,12 @@
             self._end()
 
     def must_close(self, exchange: Exchange) -> bool:
-        """Says whether the connection ends with an answer."""
-        if self.server.is_leaving and self.closes_after is None:
+        """Says whether the connection ends with an answer.
+
+        A leaving host ends it with the last request that it has read.
+        """
+        is_last = self.exchanges and self.exchanges[-1] is exchange
+        if self.server.is_leaving and self.closes_after is None and is_last:
             self.closes_after = exchange
         return self.closes_after is exchange
 
@@ -185,7 +96,7 @@
         self.room.set()
         is_last = exchange.parser.our_state is h11.MUST_CLOSE
         if is_last or self.closes_after is exchange:
-            self._shut_down()
+            _shut(self.sock, std_socket.SHUT_WR)
         elif self.exchanges:
             self.exchanges[0].turn.set()
 
@@ -205,6 +116,8 @@
             head = self._read_head(parser)
             if head is None:
                 return
+            if self.closes_after is not None:
+                break
             exchange = self._start(parser, head)
             self._read_body(exchange)
             while len(self.exchanges) >= MAX_PIPELINED:
@@ -215,6 +128,7 @@
                 return
             rest, _ = parser.trailing_data
             parser = self._parser(rest)
+        self._wait_for_end()
 
     def _parser(self, data: bytes) -> h11.Connection:
         limit = self.server.limits.max_head_bytes
@@ -384,10 +298,6 @@
         except OSError:
             return
 
-    def _shut_down(self) -> None:
-        _shut(self.sock, std_socket.SHUT_WR)
-        self.closes_after = self.closes_after or True
-
     def _end(self) -> None:
         """Cancels what is under way and closes the connection."""
         for exchange, greenlet in list(self.greenlets.items()):
@@ -467,14 +377,6 @@
         connection.run()
 
 
-def _reason(status: int) -> bytes:
-    """Returns the reason phrase of a status; none for unregistered ones."""
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b""
-
-
 def _shut(sock, how: int) -> None:
     try:
         sock.shutdown(how)
--- a/packages/gateway/sardinewheel_gateway/messages.py
+++ b/packages/gateway/sardinewheel_gateway/messages.py
@@ -48,6 +48,12 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def has_body(headers: Headers) -> bool:
+    """Says whether a request has a body, which may be empty."""
+    framing = (b"content-length", b"transfer-encoding")
+    return any(name in framing for name, _ in headers)
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Returns the headers that don't concern one connection only."""
     listed = {
--- a/packages/gateway/sardinewheel_gateway/policy/beliefs.py
+++ b/packages/gateway/sardinewheel_gateway/policy/beliefs.py
@@ -113,11 +113,9 @@
     def answered(
         self,
         target: Target,
-        route: Route,
         answer: TargetAnswer,
         *,
         is_error: bool,
-        took_s: float,
         now: float,
     ) -> None:
         """Learns from a target's answer."""
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -6,7 +6,6 @@
 FIRST_BACKOFF_S = 0.4
 MAX_BACKOFF_S = 3.0
 FAILURE_WEIGHT = 0.15
-WORK_WEIGHT = 0.1
 
 
 class ReportedLoad(NamedTuple):
@@ -98,19 +97,3 @@
     def forget(self, target_id: str) -> None:
         """Forgets a target that has gone or restarted."""
         self.loads.pop(target_id, None)
-
-
-class ServiceTimes:
-    """Mean time that targets take, by route."""
-
-    def __init__(self):
-        self.means_s: dict[str, float] = {}
-
-    def record(self, route: str, took_s: float) -> None:
-        """Takes the time from dispatch to answer of one request."""
-        mean = self.means_s.get(route, took_s)
-        self.means_s[route] = mean + WORK_WEIGHT * (took_s - mean)
-
-    def mean_s(self, route: str, default_s: float) -> float:
-        """Returns the mean of a route."""
-        return self.means_s.get(route, default_s)
--- a/tests/gateway/house.py
+++ b/tests/gateway/house.py
@@ -153,7 +153,6 @@
                 LIMITS,
             )
         )
-        self.beliefs.configuration = self.beliefs.configuration._replace()
         for target_id, target in self.targets.items():
             self.beliefs.fleet.put(
                 record(target_id, address=target.address), now=clock.steady()
@@ -163,7 +162,6 @@
             contract=PlainContract(),
             metrics=Metrics(),
             log=self.log,
-            rng=rng,
         )
         self.front = HttpServer(
             ("127.0.0.1", 0), self.forwarder.handle, self.log
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -222,7 +222,7 @@
     sock = house.connect()
     sock.sendall(request("POST", 1, b"x" * 900_000)[:300_000])
     assert sock.recv(65536).startswith(b"HTTP/1.1 413 ")
-    wait_until(lambda: not house.forwarder.pool.idle)
+    wait_until(lambda: not house.forwarder.sender.pool.idle)
 
 
 def test_no_target_is_refused_at_once_with_a_time_to_return(made):
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -173,6 +173,33 @@
     assert b"connection: close" in read_all(sock).lower()
 
 
+def test_a_leaving_host_answers_all_that_it_has_read():
+    def slow(sock, head, rest):
+        gevent.sleep(0.1)
+        sock.sendall(answer(head, head.split()[1].encode()))
+        return rest
+
+    house = House(slow)
+    sock = house.connect()
+    sock.sendall(request(number=1) + request(number=2))
+    wait_until(lambda: house.arrivals() == 2)
+    house.front.is_leaving = True
+    data = read_all(sock)
+    assert data.index(b"/orders/1") < data.index(b"/orders/2")
+    assert data.lower().count(b"connection: close") == 1
+    house.close()
+
+
+def test_nothing_is_read_behind_the_answer_that_closes(house):
+    sock = house.connect()
+    house.front.is_leaving = True
+    sock.sendall(request(number=1))
+    assert b"connection: close" in sock.recv(65536).lower()
+    sock.sendall(request(number=2))
+    read_all(sock)
+    assert house.arrivals() == 1
+
+
 def test_an_unknown_path_is_not_found(house):
     sock = house.connect()
     sock.sendall(
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -11,7 +11,7 @@
 from tests.platform.test_records import CONFIGURATION, TARGET
 
 
-class FakeGateway:
+class FakeNews:
     """Keeps what it is told."""
 
     def __init__(self):
@@ -51,7 +51,7 @@
 
 
 def feed(*script, position=NOTHING_KNOWN):
-    gateway = FakeGateway()
+    news = FakeNews()
     decoded = []
 
     def decode(page, before):
@@ -63,9 +63,9 @@
         "servers",
         position=lambda: position,
         decode=decode,
-        gateway=gateway,
+        news=news,
     )
-    return made, gateway, decoded
+    return made, news, decoded
 
 
 ROW = Row("a", 9, b"x")
@@ -97,14 +97,14 @@
 
 
 def test_an_outage_is_logged_once_and_the_feed_goes_on_where_it_was():
-    made, gateway, _ = feed(
+    made, news, _ = feed(
         Page([], 4), StoreError("a"), StoreError("b"), Page([], 5)
     )
     made.step()
     fail(made)
     fail(made)
     made.step()
-    assert gateway.names() == [
+    assert news.names() == [
         "heard_from_store",
         "store_answers",
         "source_lost",
@@ -129,8 +129,8 @@
     return json.dumps(plain).encode()
 
 
-class Evacuated(FakeGateway):
-    """A gateway that already knows an evacuation."""
+class Evacuated(FakeNews):
+    """News that already know an evacuation."""
 
     evacuated = frozenset({"north-b"})
 
@@ -160,11 +160,11 @@
 
 
 def test_an_entry_that_turned_unreadable_names_no_target():
-    gateway = FakeGateway()
+    news = FakeNews()
     rows = [Row("t1", 8, value(TARGET)), Row("t2", 9, b"\xff")]
-    update = Decoder(gateway).targets(Page(rows, 9), 5).targets
+    update = Decoder(news).targets(Page(rows, 9), 5).targets
     assert [(c.target_id, c.record is None) for c in update.changes] == [
         ("t1", False),
         ("t2", True),
     ]
-    assert gateway.names() == ["warning"]
+    assert news.names() == ["warning"]
