--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -38,6 +38,7 @@
 STREAM_EXTRA_S = 5.0
 NO_CONFIGURATION_RETURN_S = 0.5
 LOW_TIME_RETURN_S = 0.3
+STOPPING_RETURN_S = 0.1
 NOT_FOUND = 404
 TOO_LARGE = 413
 BAD_GATEWAY = 502
@@ -53,6 +54,7 @@
         contract: Reads and writes the platform's headers.
         sender: Sends requests to targets.
         metrics: Counters and histograms.
+        is_stopping: Whether it is too late to begin anything new.
     """
 
     def __init__(
@@ -63,10 +65,20 @@
         self.metrics = metrics
         self.log = log
         self.sender = Sender(beliefs, contract, metrics, log)
+        self.is_stopping = False
 
     def handle(self, exchange: Exchange) -> None:
         """Serves one request of a caller."""
         caller = self.contract.caller(exchange.head.headers)
+        if self.is_stopping:
+            self.answer(
+                exchange,
+                caller,
+                UNAVAILABLE,
+                "stopping",
+                retry_after_s=STOPPING_RETURN_S,
+            )
+            return
         route = self._route(exchange, caller)
         if route is None:
             return
--- a/packages/gateway/sardinewheel_gateway/http_client.py
+++ b/packages/gateway/sardinewheel_gateway/http_client.py
@@ -268,7 +268,10 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.parser.receive_data(self.sock.recv(READ_BLOCK_BYTES))
+            data = self.sock.recv(READ_BLOCK_BYTES)
+            if not data and self.parser.their_state is h11.SEND_RESPONSE:
+                raise AnswerLostError("closed before an answer")
+            self.parser.receive_data(data)
 
     def _parts(self) -> Iterator[bytes]:
         while True:
--- a/packages/gateway/sardinewheel_gateway/news.py
+++ b/packages/gateway/sardinewheel_gateway/news.py
@@ -116,9 +116,15 @@
             self.gossip.change(store=StoreAccess.FOLLOWING)
 
     def registry_returned(self, *, away_s: float) -> None:
-        """Notes that the targets' records can be read again."""
-        fleet = self.beliefs.fleet
-        fleet.registry_returned(away_s=away_s, now=clock.steady())
+        """Notes that the targets' records can be read again.
+
+        Args:
+            away_s: Seconds for which this host, or one that told it, could
+                not read them.
+        """
+        now = clock.steady()
+        if not self.gossip.book.has_settled_follower(now=now):
+            self.beliefs.fleet.registry_returned(away_s=away_s, now=now)
 
     def expire(self) -> None:
         """Forgets targets whose record stayed missing."""
@@ -218,7 +224,7 @@
         now = clock.steady()
         fleet = self.beliefs.fleet
         if update.away_s:
-            fleet.registry_returned(away_s=update.away_s, now=now)
+            self.registry_returned(away_s=update.away_s)
         if update.is_whole:
             records = [c.record for c in update.changes if c.record]
             changes = fleet.replace_all(records, now=now)
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -6,6 +6,8 @@
 from sardinewheel_gateway.policy.updates import Positions
 
 RESTART_SILENCE_S = 2.0
+SETTLED_FOLLOWER_S = 3.5
+FOLLOWER_SILENCE_S = 1.2
 SILENCE_S = 3.5
 FAR_SILENCE_S = 6.0
 FORGET_S = 60.0
@@ -96,11 +98,13 @@
     Attributes:
         own: State of this host.
         peers: Other hosts, by name.
+        following_since: Since when a host follows the store, by name.
     """
 
     def __init__(self, own: HostState):
         self.own = own
         self.peers: dict[str, Peer] = {}
+        self.following_since: dict[str, float] = {}
 
     def hear(self, state: HostState, *, now: float) -> bool:
         """Takes a heartbeat; says whether it is of a new or changed host."""
@@ -110,6 +114,7 @@
         if known is not None and _is_older(state, known, now):
             return False
         self.peers[state.name] = Peer(state, now)
+        self._note_following(state, now)
         if known is None or now - known.heard_at > FAR_SILENCE_S:
             return True
         return _lasting(known.state) != _lasting(state)
@@ -147,6 +152,24 @@
         ]
         return [self.own, *heard]
 
+    def has_settled_follower(self, *, now: float) -> bool:
+        """Says whether a host has heard the store for a while and still does.
+
+        If so, the store itself was not away lately.
+        """
+        return any(
+            now - since >= SETTLED_FOLLOWER_S
+            and now - self.peers[name].heard_at < FOLLOWER_SILENCE_S
+            for name, since in self.following_since.items()
+            if name in self.peers
+        )
+
+    def _note_following(self, state: HostState, now: float) -> None:
+        if state.store is StoreAccess.FOLLOWING:
+            self.following_since.setdefault(state.name, now)
+        else:
+            self.following_since.pop(state.name, None)
+
     def _silence_s(self, state: HostState) -> float:
         """Returns for how long a live host may be silent."""
         is_near = state.region == self.own.region
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -233,18 +233,19 @@
             on_reload()
 
     def _leave(self) -> None:
-        """Stops: no request that has arrived is cut."""
+        """Stops: no request that has arrived is cut.
+
+        New requests are taken while callers may still hold look-ups that name
+        this host, and refused after that, so that those under way can end.
+        """
         began = clock.steady()
         self.is_leaving = True
         self.front.is_leaving = True
         self.log.info("stop-ordered", under_way=len(self.front.under_way))
         self._update_readiness()
         end = began + self.settings.grace_s - STOP_MARGIN_S
-        while clock.steady() < end:
-            lingered = clock.steady() - began > STOP_LINGER_S
-            if lingered and not self.front.under_way:
-                break
-            gevent.sleep(0.05)
+        gevent.sleep(min(STOP_LINGER_S, self.settings.grace_s / 2))
+        self.forwarder.is_stopping = True
         self.front.stop_accepting()
         self.front.close_idle()
         while self.front.under_way and clock.steady() < end:
--- a/tests/gateway/policy/test_hosts.py
+++ b/tests/gateway/policy/test_hosts.py
@@ -6,6 +6,7 @@
     SILENCE_S,
     HostBook,
     HostState,
+    StoreAccess,
     entry_hosts,
 )
 
@@ -69,3 +70,29 @@
     ]
     assert entry_hosts(hosts, region="north", limit=64) == ["a:80"]
     assert entry_hosts(hosts, region="east", limit=64) == ["a:80", "c:80"]
+
+
+def follower(name, **fields):
+    return state(name, store=StoreAccess.FOLLOWING, **fields)
+
+
+def test_a_host_that_follows_the_store_for_a_while_is_settled():
+    book = HostBook(state("a"))
+    for beat in range(20):
+        book.hear(follower("b", sequence=beat + 1), now=beat * 0.4)
+    assert book.has_settled_follower(now=8.0)
+
+
+def test_a_host_that_has_just_come_back_to_the_store_is_not_settled():
+    book = HostBook(state("a"))
+    away = state("b", store=StoreAccess.AWAY)
+    book.hear(follower("b"), now=0.0)
+    book.hear(away._replace(sequence=2), now=4.0)
+    book.hear(follower("b", sequence=3), now=5.0)
+    assert not book.has_settled_follower(now=5.5)
+
+
+def test_a_silent_follower_is_not_settled():
+    book = HostBook(state("a"))
+    book.hear(follower("b"), now=0.0)
+    assert not book.has_settled_follower(now=6.0)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -259,3 +259,10 @@
     sock = house.connect()
     sock.sendall(request(more="Connection: close\r\n"))
     return read_all(sock)
+
+
+def test_a_stopping_host_refuses_what_comes_too_late(made):
+    house = made(serves)
+    house.forwarder.is_stopping = True
+    assert house.ask().startswith(b"HTTP/1.1 503 ")
+    assert house.arrivals() == 0
--- /dev/null
+++ b/tests/gateway/test_news.py
@@ -0,0 +1,96 @@
+"""News of operators and targets change what a host believes."""
+
+import random
+
+import pytest
+from sardinewheel_gateway import clock
+from sardinewheel_gateway.gossip import Gossip
+from sardinewheel_gateway.log import Log
+from sardinewheel_gateway.news import News
+from sardinewheel_gateway.policy.beliefs import Beliefs
+from sardinewheel_gateway.policy.hosts import HostBook, StoreAccess
+from sardinewheel_gateway.policy.updates import (
+    NOTHING_KNOWN,
+    RecordChange,
+    TargetsUpdate,
+    Update,
+)
+
+from tests.gateway.house import BOUNDS
+from tests.gateway.policy.test_hosts import state
+from tests.gateway.policy.test_targets import record
+
+WHOLE = TargetsUpdate(
+    NOTHING_KNOWN,
+    10,
+    (RecordChange("t1", 5, record("t1")), RecordChange("t2", 6, record("t2"))),
+)
+GONE = TargetsUpdate(10, 11, (RecordChange("t1", 11, None),))
+
+
+@pytest.fixture
+def news():
+    book = HostBook(state("a"))
+    gossip = Gossip("127.0.0.1:0", book, [], Log(host="a"))
+    rng = random.Random(7)
+    made = News(
+        beliefs=Beliefs(host="a", bounds=BOUNDS, regions={}, rng=rng),
+        gossip=gossip,
+        log=gossip.log,
+        rng=rng,
+        on_change=lambda: None,
+        on_target_gone=lambda target_id: None,
+    )
+    made.heard_from_host(Update(targets=WHOLE), "b")
+    yield made
+    gossip.stop()
+
+
+def usable(news):
+    found = news.beliefs.fleet.usable("orders")
+    return [target.record.target_id for target in found]
+
+
+def settle_follower(news):
+    """Lets another host follow the store for a long while."""
+    now = clock.steady()
+    for beat in range(20):
+        follower = state("c", store=StoreAccess.FOLLOWING, sequence=beat + 1)
+        news.gossip.book.hear(follower, now=now - 8.0 + beat * 0.41)
+
+
+def test_a_record_that_is_gone_ends_new_work(news):
+    news.heard_from_host(Update(targets=GONE), "b")
+    assert usable(news) == ["t2"]
+    assert news.positions.targets == 11
+
+
+def test_after_an_absence_of_the_store_a_missing_record_gets_time(news):
+    news.registry_returned(away_s=5.0)
+    news.heard_from_store(Update(targets=GONE))
+    assert usable(news) == ["t1", "t2"]
+
+
+def test_the_store_was_not_away_if_another_host_followed_it(news):
+    settle_follower(news)
+    news.registry_returned(away_s=9.96)
+    news.heard_from_store(Update(targets=GONE))
+    assert usable(news) == ["t2"]
+
+
+def test_word_of_an_absence_is_not_believed_against_a_settled_follower(news):
+    settle_follower(news)
+    news.heard_from_host(Update(targets=GONE._replace(away_s=9.96)), "b")
+    assert usable(news) == ["t2"]
+
+
+def test_word_of_an_absence_is_passed_on_otherwise(news):
+    news.heard_from_host(Update(targets=GONE._replace(away_s=5.0)), "b")
+    assert usable(news) == ["t1", "t2"]
+
+
+def test_a_gap_is_not_applied(news):
+    late = GONE._replace(before=20, after=21)
+    news.heard_from_host(Update(targets=late), "b")
+    assert usable(news) == ["t1", "t2"]
+    assert news.relay.hint.is_set()
