Notice a store that is silent to the hosts that read it

Change: a follower with news tells the followers of other regions how far it has heard. One that is behind for 1.2 s catches up from them and counts as away, so that another host of its region reads the store. Where no other region has followers, the store has to answer every 1.5 s.

Tests failed before (no such call).

--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -90,6 +90,17 @@
         for address in addresses:
             self._send(address, data)
 
+    def tell_far_followers(self) -> None:
+        """Tells followers in other regions how far this one has heard.
+
+        One of them that hears less from the store notices by that.
+        """
+        own = self.book.own
+        own = self.book.own = own._replace(sequence=own.sequence + 1)
+        data = cbor2.dumps(_pulse(own))
+        for host in self.book.far_followers():
+            self._send(host.gossip, data)
+
     def change(
         self,
         *,
--- a/packages/gateway/sardinewheel_gateway/news.py
+++ b/packages/gateway/sardinewheel_gateway/news.py
@@ -25,6 +25,9 @@
 )
 from sardinewheel_gateway.relay import Relay, is_ahead
 
+FEED_WAIT_S = 25.0
+LONE_FEED_WAIT_S = 1.5
+
 
 class News:
     """Applies news and passes them on.
@@ -60,7 +63,11 @@
         self.following = FollowDecision(gossip.book)
         self.sources_lost: set[str] = set()
         self.relay = Relay(
-            gossip, apply_update=self.heard_from_host, log=log, rng=rng
+            gossip,
+            apply_update=self.heard_from_host,
+            log=log,
+            rng=rng,
+            on_lag=self.store_lags,
         )
         gossip.on_update = self.heard_from_host
         gossip.on_heartbeat = self._hint_if_behind
@@ -83,6 +90,7 @@
         self._apply(update, "store")
         if is_news:
             self.relay.push(passed_on)
+            self.gossip.tell_far_followers()
 
     def heard_from_host(self, update: Update, name: str) -> None:
         """Takes news that another host passed on."""
@@ -115,6 +123,25 @@
         if not self.sources_lost:
             self.gossip.change(store=StoreAccess.FOLLOWING)
 
+    def store_lags(self) -> None:
+        """Notes that others have long heard what the store doesn't tell."""
+        self.log.warning(
+            "store-silent",
+            operators=self.positions.operators,
+            targets=self.positions.targets,
+        )
+        self.gossip.change(store=StoreAccess.AWAY)
+
+    @property
+    def feed_wait_s(self) -> float:
+        """Seconds that the store may take to say that nothing changed.
+
+        Followers of other regions would show that the store is silent; where
+        there are none, only its answers do.
+        """
+        has_others = bool(self.gossip.book.far_followers())
+        return FEED_WAIT_S if has_others else LONE_FEED_WAIT_S
+
     def registry_returned(self, *, away_s: float) -> None:
         """Notes that the targets' records can be read again.
 
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -164,6 +164,15 @@
             if name in self.peers
         )
 
+    def far_followers(self) -> list[HostState]:
+        """Returns the hosts of other regions that follow the store."""
+        return [
+            peer.state
+            for name, peer in self.peers.items()
+            if name in self.following_since
+            and peer.state.region != self.own.region
+        ]
+
     def _note_following(self, state: HostState, now: float) -> None:
         if state.store is StoreAccess.FOLLOWING:
             self.following_since.setdefault(state.name, now)
--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -37,6 +37,7 @@
 
     Attributes:
         gossip: Datagrams to the other hosts.
+        on_lag: Called when the store is late with what others know.
         ahead_since: Since when others know more though this host follows the
             store.
     """
@@ -48,10 +49,12 @@
         apply_update: Callable[[Update, str], None],
         log,
         rng: random.Random,
+        on_lag: Callable[[], None],
     ):
         self.gossip = gossip
         self.book = gossip.book
         self.apply_update = apply_update
+        self.on_lag = on_lag
         self.ahead_since: float | None = None
         self.log = log
         self.rng = rng
@@ -104,7 +107,10 @@
         now = clock.steady()
         if self.ahead_since is None:
             self.ahead_since = now
-        return now - self.ahead_since < STORE_LAG_S
+        if now - self.ahead_since < STORE_LAG_S:
+            return True
+        self.on_lag()
+        return False
 
     def _ahead(self) -> list[HostState]:
         """Returns live hosts that know more, those of this region first."""
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -3,9 +3,10 @@
 import gevent
 import pytest
 from gevent import socket
+from sardinewheel_gateway import clock
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.log import Log
-from sardinewheel_gateway.policy.hosts import HostBook, Pulse
+from sardinewheel_gateway.policy.hosts import HostBook, Pulse, StoreAccess
 from sardinewheel_gateway.policy.updates import Positions
 
 from tests.gateway.house import wait_until
@@ -64,6 +65,21 @@
     assert hosts[2].book.peers["b"].state.front == own.front
 
 
+def test_followers_of_other_regions_hear_of_news_at_once(hosts):
+    near, far, far_idle = (gossip.book for gossip in hosts)
+    far.own = far.own._replace(region="south", store=StoreAccess.FOLLOWING)
+    far_idle.own = far_idle.own._replace(region="south")
+    for book in (near, far, far_idle):
+        for other in (near, far, far_idle):
+            book.hear(other.own, now=clock.steady())
+    for gossip in hosts[1:]:
+        gossip.tasks = [gevent.spawn(gossip._listen)]
+    hosts[0].advance(Positions(7, 9))
+    hosts[0].tell_far_followers()
+    wait_until(lambda: far.peers["a"].state.positions == (7, 9), 0.5)
+    assert far_idle.peers["a"].state.positions != (7, 9)
+
+
 def test_a_pulse_of_an_unknown_start_is_no_sign_of_a_host(hosts):
     pulse = Pulse.of(state("b", incarnation=9))
     assert hosts[0].book.state_of(pulse) is None
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -94,3 +94,18 @@
     news.heard_from_host(Update(targets=late), "b")
     assert usable(news) == ["t1", "t2"]
     assert news.relay.hint.is_set()
+
+
+def test_a_host_that_the_store_no_longer_tells_counts_as_away(news):
+    news.gossip.change(store=StoreAccess.FOLLOWING)
+    news.store_lags()
+    assert news.gossip.book.own.store is StoreAccess.AWAY
+    news.store_answers()
+    assert news.gossip.book.own.store is StoreAccess.FOLLOWING
+
+
+def test_the_store_is_asked_often_where_no_other_region_would_tell(news):
+    assert news.feed_wait_s < 2.0
+    far = state("d", region="south", store=StoreAccess.FOLLOWING)
+    news.gossip.book.hear(far, now=clock.steady())
+    assert news.feed_wait_s > 10.0
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -49,6 +49,7 @@
             apply_update=lambda update, name: applied.append((update, name)),
             log=Log(host="a"),
             rng=random.Random(7),
+            on_lag=lambda: applied.append("lag"),
         )
         return relay, applied
 
@@ -71,7 +72,7 @@
     assert applied == []
     made.ahead_since -= 2.0
     made.step()
-    assert applied == [(UPDATE, "b")]
+    assert applied == ["lag", (UPDATE, "b")]
 
 
 def test_a_host_that_is_not_ahead_is_not_asked(peer, relay_to):
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -39,7 +39,7 @@
         self.calls.append(("read", table))
         return self._next()
 
-    def changes(self, table, after):
+    def changes(self, table, after, *, wait_s):
         self.calls.append(("changes", table, after))
         return self._next()
 
