--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -28,6 +28,11 @@
 START_TIMEOUT_S = 20.0
 SETTLE_S = 6.0
 MIN_SERVED_AFTER = 0.9
+AFTER_REQUESTS = 200
+AFTER_LONGEST_S = 20.0
+WATCH_S = 0.05
+STALL_S = 0.5
+OK = 200
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -89,7 +94,9 @@
         self.version = 1
         self.is_over = False
         self.faults_are_over = False
-        self.after = [0, 0]
+        self.late = []
+        self.after = []
+        self.stalls = []
         self.store = Store()
         self.link = Link(self.store.address)
         self.store.put("op", "config", configuration(1))
@@ -111,6 +118,7 @@
     def run(self, seconds):
         """Plays faults for a while, lets all settle, and checks."""
         try:
+            watch = gevent.spawn(self._watch_stalls)
             self._wait_until_ready()
             callers = [
                 gevent.spawn(self._call_forever, n) for n in range(CALLERS)
@@ -122,6 +130,7 @@
             self._settle()
             self.is_over = True
             gevent.joinall(callers, timeout=10)
+            watch.kill()
             self._check_end()
         finally:
             self._end_processes()
@@ -249,7 +258,31 @@
             target.start()
         gevent.sleep(SETTLE_S)
         self.faults_are_over = True
-        gevent.sleep(3.0)
+        end = time.monotonic() + AFTER_LONGEST_S
+        while len(self._after_counted()) < AFTER_REQUESTS:
+            if time.monotonic() > end:
+                break
+            gevent.sleep(0.5)
+
+    def _watch_stalls(self):
+        """Notes when this process, targets and store with it, stood still."""
+        while True:
+            began = time.monotonic()
+            gevent.sleep(WATCH_S)
+            ended = time.monotonic()
+            if ended - began > WATCH_S + STALL_S:
+                self.stalls.append((began, ended))
+
+    def _stood_still(self, began, ended):
+        return any(a < ended and began < b for a, b in self.stalls)
+
+    def _after_counted(self):
+        """Returns whether each request after all faults was served."""
+        return [
+            is_served
+            for began, ended, is_served in self.after
+            if not self._stood_still(began, ended)
+        ]
 
     def _call_forever(self, caller):
         sock = gateway = None
@@ -283,7 +316,6 @@
             self.unsafe.append(request_id)
         counts_after = self.faults_are_over
         self.asked += 1
-        self.after[0] += counts_after
         began = time.monotonic()
         answer = self._exchange(
             sock,
@@ -292,17 +324,21 @@
             f"Cookie: Sardinewheel-Affinity-Key={self.rng.randint(1, 20)}\r\n"
             "Sardinewheel-Time-Remaining: 3000\r\n\r\n",
         )
-        took_s = time.monotonic() - began
+        ended = time.monotonic()
+        is_served = answer is not None and answer[0] == OK
+        if counts_after:
+            self.after.append((began, ended, is_served))
         if answer is None:
             return False
         status, headers, body = answer
+        took_s = ended - began
         if took_s > TIMEOUT_S + LATE_S and not gateway.is_disturbed:
-            self._found(f"{request_id}: {status} after {took_s:.2f} s")
+            finding = f"{request_id}: {status} after {took_s:.2f} s"
+            self.late.append((began, ended, finding))
         if headers.get("sardinewheel-attempt-id", request_id) != request_id:
             self._found(f"{request_id}: got another request's answer")
         if status == 200:
             self.served += 1
-            self.after[1] += counts_after
             if body != body_of(request_id):
                 self._found(f"{request_id}: got another body")
         elif status in PROMISES_NOT_RUN:
@@ -343,8 +379,12 @@
         for request_id in self.refused:
             if request_id in unsafe and request_id in self.executed:
                 self._found(f"{request_id}: refused, but executed")
-        asked, served = self.after
-        if served < MIN_SERVED_AFTER * asked or not asked:
+        for began, ended, finding in self.late:
+            if not self._stood_still(began, ended):
+                self._found(finding)
+        after = self._after_counted()
+        asked, served = len(after), sum(after)
+        if served < MIN_SERVED_AFTER * asked or asked < AFTER_REQUESTS:
             self._found(f"after all faults {served} of {asked} were served")
 
     def _found(self, finding):
@@ -375,7 +415,8 @@
         failed += bool(findings)
         print(
             f"seed {seed}: {soak.served} of {soak.asked} served, "
-            f"{len(findings)} findings, logs in {folder}",
+            f"{len(findings)} findings, {len(soak.stalls)} stalls of the "
+            f"harness, {len(soak.late)} late, logs in {folder}",
             flush=True,
         )
         for finding in findings[:20]:
