Cut hosts off from each other in the soak, one way too

The soak harmed the store's link, processes and targets, but never what gateways tell each other, silent connections that stay silent, evacuations, or drains that end in a dropped record; it had one region of three gateways.

Each gateway now announces the address of a relay (`announced_ip`, a setting of the gateway for hosts behind a relay), so datagrams between any two of them are lost, late or cut one way, and connections for missed news are harmed. Open connections to the store and to targets go silent for good. Most gateways are killed at once. New checks: no request reaches a target later than 2.5 s after it left or 5 s after its domain was evacuated, a new version is known 2.5 s after it was written, and no process ends by itself. The one file of 428 lines is split by what it does.

Ruled out: datagrams told apart by their sender only at the receiver would have needed a switch in the product. Clocks are not disturbed: from outside of a process that needs preloading.

--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -62,6 +62,8 @@
         bounds: Bounds over all hosts together.
         capacity: Size of the host, for duties that go to the largest.
         log_level: Least severe level that is logged.
+        announced_ip: Address under which other hosts reach ``gossip`` and
+            ``control``, if a relay stands between; empty if none does.
     """
 
     name: str
@@ -80,6 +82,7 @@
     bounds: Bounds
     capacity: int = 0
     log_level: str = "info"
+    announced_ip: str = ""
 
 
 class Gateway:
@@ -264,10 +267,17 @@
         incarnation=int(clock.wall() * 1000),
         sequence=0,
         front=settings.front,
-        gossip=settings.gossip,
-        control=settings.control,
+        gossip=_announced(settings.gossip, settings),
+        control=_announced(settings.control, settings),
         domain=settings.domain,
         region=settings.region,
         is_ready=False,
         capacity=settings.capacity,
     )
+
+
+def _announced(address: str, settings: GatewaySettings) -> str:
+    """Returns the address that other hosts use for one of this host."""
+    if not settings.announced_ip or not address:
+        return address
+    return f"{settings.announced_ip}:{address.rpartition(':')[2]}"
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -1,6 +1,7 @@
 """A gateway as a process of its own, the real program."""
 
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -9,20 +10,23 @@
 from gevent import socket
 
 ROOT = Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "tests/platform/announced_gateway.py"
 FRONT, READY, CONTROL, DIRECTORY = 18144, 18140, 18146, 18143
 INTERNAL = 17660
+FIRST_RELAY = 100
+SEEDS = 2
 
 SETTINGS = """
 Node = "{name}"
 IpAddr = "{ip}"
-Zone = "north-a"
-Region = "north"
+Zone = "{domain}"
+Region = "{region}"
 InternalPorts = [{internal}, {internal_end}]
 Seeds = [{seeds}]
 Bounds = ["Grace=6s", "ttl_max=5s", "RetryRatio=0.2", "RetryWindow=10s",
   "RetrySlack=60", "ColdExcess=1.5", "ColdSlack=5"]
 [Zones]
-north-a = "north"
+{domains}
 [Listen]
 Front = "{ip}:{front}"
 Ready = "{ip}:{ready}"
@@ -36,25 +40,33 @@
 
 
 class GatewayProcess:
-    """One gateway, the real program.
+    """One gateway, the real program; others reach it through a relay.
 
     Attributes:
+        number: Its number.
         name: Its name.
         ip: Its loopback address.
+        relay_ip: Address under which other gateways know it.
         is_paused: Whether it was stopped by a signal.
+        is_ending: Whether it was told to end, or killed.
     """
 
-    def __init__(self, number, store_address, folder):
+    def __init__(self, number, store_address, folder, *, domain, domains):
+        self.number = number
         self.name = f"host-{number}"
-        self.ip = f"127.0.{os.getpid() % 200 + 10}.{number + 1}"
-        net = self.ip.rpartition(".")[0]
-        seeds = ", ".join(f'"{net}.{n + 1}:{CONTROL}"' for n in range(2))
+        net = f"127.0.{os.getpid() % 200 + 10}"
+        self.ip = f"{net}.{number + 1}"
+        self.relay_ip = f"{net}.{FIRST_RELAY + number + 1}"
+        seeds = (f"{net}.{FIRST_RELAY + n + 1}" for n in range(SEEDS))
         self.settings = folder / f"{self.name}.toml"
         self.settings.write_text(
             SETTINGS.format(
                 name=self.name,
                 ip=self.ip,
-                seeds=seeds,
+                domain=domain,
+                region=region_of(domain),
+                domains="\n".join(f'{x} = "{region_of(x)}"' for x in domains),
+                seeds=", ".join(f'"{seed}:{CONTROL}"' for seed in seeds),
                 store=store_address,
                 internal=INTERNAL,
                 internal_end=INTERNAL + 9,
@@ -65,26 +77,44 @@
             )
         )
         self.log_path = folder / f"{self.name}.log"
+        self.popen = None
         self.is_paused = False
+        self.is_ending = False
         self.disturbed_until = 0.0
-        self.start()
 
     def start(self):
         """Starts the program."""
-        environment = os.environ | {"SARDINEWHEEL_SETTINGS": str(self.settings)}
+        environment = os.environ | {
+            "SARDINEWHEEL_SETTINGS": str(self.settings),
+            "ANNOUNCED_IP": self.relay_ip,
+        }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform/main.py")],
+                [sys.executable, str(PROGRAM)],
                 env=environment,
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
             )
+        self.is_ending = False
 
     def signal(self, number):
         """Sends a signal to the process."""
         self.popen.send_signal(number)
 
+    def end(self, number):
+        """Sends a signal that ends it."""
+        self.is_ending = True
+        self.is_paused = False
+        self.signal(number)
+
+    def end_now(self):
+        """Ends it without grace, if it runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
+
     def disturb(self, seconds):
         """Notes that it may be late or cut for a while."""
         until = time.monotonic() + seconds
@@ -106,3 +136,16 @@
             return sock.recv(4096).startswith(b"HTTP/1.1 200")
         except OSError:
             return False
+
+    def peak_kb(self):
+        """Returns the most memory that the process has used, in KB."""
+        status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1])
+        return 0
+
+
+def region_of(domain):
+    """Returns the region of a failure domain."""
+    return domain.partition("-")[0]
--- /dev/null
+++ b/tests/platform/soak/operators.py
@@ -0,0 +1,81 @@
+"""What operators write during a soak, and when it was acknowledged."""
+
+TIMEOUT_S = 1.5
+SERVICE = "orders"
+KINDS = ("idempotent", "non_idempotent")
+
+
+class Operators:
+    """Writes configurations and evacuations.
+
+    Attributes:
+        version: Version of the newest configuration.
+        evacuated: When each evacuated domain was, on the steady clock.
+    """
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.version = 0
+        self.evacuated = {}
+        self.configure(1)
+
+    def configure(self, step):
+        """Writes a configuration whose version is so much higher."""
+        self.version += step
+        self.store.put("op", "config", configuration(self.version))
+
+    def evacuate(self, domain):
+        """Empties a domain."""
+        self.store.put("op", f"evacuate/{domain}", {})
+        self.evacuated[domain] = self.clock()
+
+    def give_back(self, domain):
+        """Takes an evacuation back."""
+        self.evacuated.pop(domain, None)
+        self.store.put("op", f"evacuate/{domain}", None)
+
+
+def probe_path(version):
+    """Returns the path of a route that only one version has."""
+    return f"/only-{version}/"
+
+
+def configuration(version):
+    """Returns a configuration in the platform's words."""
+    routes = [_route(kind, f"/{kind}/", kind) for kind in KINDS]
+    routes.append(_route("probe", probe_path(version), KINDS[0]))
+    service = {
+        "Name": SERVICE,
+        "MaxConns": 100,
+        "ColdStart": "1s",
+        "ColdPerS": 50,
+    }
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 1_000_000,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    }
+    return {
+        "CfgVersion": version,
+        "Routes": routes,
+        "Services": [service],
+        "Limits": limits,
+    }
+
+
+def _route(name, prefix, kind):
+    return {
+        "Name": f"r-{name}",
+        "Host": "shop.example",
+        "Prefix": prefix,
+        "Kind": kind,
+        "Timeout": f"{int(TIMEOUT_S * 1000)}ms",
+        "TargetLatency": "500ms",
+        "Priority": 1,
+        "Service": SERVICE,
+        "MaxAttempts": 2,
+        "Sticky": True,
+        "HomeRegions": [],
+    }
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -1,14 +1,12 @@
 """Stand-ins for the store and the targets of the users' platform."""
 
 import base64
-import contextlib
 import hashlib
 import json
 import time
 from urllib.parse import parse_qs, urlsplit
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -133,17 +131,23 @@
         executed: How often each request id was executed, over all targets.
         fault: ``""``, ``lose`` (runs it, no answer), ``shed``, ``extra`` or
             ``half``; for a part of the requests.
+        on_request: Called with this target and the id of each request.
     """
 
-    def __init__(self, name, store, executed, *, service, rng):
+    def __init__(
+        self, name, store, executed, *, service, domain, rng, on_request
+    ):
         self.name = name
         self.store = store
         self.executed = executed
+        self.domain = domain
+        self.on_request = on_request
         self.service = service
         self.rng = rng
         self.fault = ""
         self.running = 0
         self.connections = set()
+        self.silent = set()
         self.server = None
         self.start()
 
@@ -159,7 +163,7 @@
             {
                 "Service": self.service,
                 "Address": f"127.0.0.1:{self.server.server_port}",
-                "Zone": "north-a",
+                "Zone": self.domain,
                 "CfgVersion": "v1",
                 "Slots": SLOTS,
                 "OperState": "draining" if is_draining else "in_service",
@@ -181,6 +185,10 @@
         for sock in list(self.connections):
             sock.close()
 
+    def forget(self):
+        """Lets open connections go silent for good; new ones work."""
+        self.silent |= self.connections
+
     def _serve(self, sock, _address):
         self.connections.add(sock)
         try:
@@ -189,12 +197,15 @@
             pass
         finally:
             self.connections.discard(sock)
+            self.silent.discard(sock)
             sock.close()
 
     def _serve_requests(self, sock):
         data = b""
         while request := read_request(sock, data):
             _, headers, _, data = request
+            if sock in self.silent:
+                continue
             request_id = headers["sardinewheel-attempt-id"]
             if headers["sardinewheel-target-instance"] != self.name:
                 self._send(sock, request_id, 421, b"")
@@ -204,6 +215,7 @@
                 more = "Sardinewheel-Not-Executed: 1\r\n"
                 self._send(sock, request_id, 503, b"", more)
                 continue
+            self.on_request(self, request_id)
             self._execute(sock, request_id, fault)
             if fault in ("lose", "half"):
                 return
@@ -233,50 +245,3 @@
         )
         data = head.encode() + body
         sock.sendall(data[: len(data) - cut])
-
-
-class Link:
-    """A relay on loopback that delays, cuts one way, silences or resets.
-
-    Attributes:
-        mode: ``ok``, ``delay``, ``silent``, ``one_way`` or ``reset``.
-    """
-
-    def __init__(self, target_address):
-        host, _, port = target_address.rpartition(":")
-        self.target = (host, int(port))
-        self.mode = "ok"
-        self.server = StreamServer(("127.0.0.1", 0), self._relay)
-        self.server.start()
-
-    @property
-    def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
-
-    def _relay(self, sock, _address):
-        try:
-            other = socket.create_connection(self.target, timeout=1.0)
-        except OSError:
-            sock.close()
-            return
-        other.settimeout(None)
-        back = gevent.spawn(self._pump, other, sock, True)
-        self._pump(sock, other, False)
-        back.join(1.0)
-
-    def _pump(self, source, sink, is_back):
-        try:
-            while data := source.recv(READ_BYTES):
-                if self.mode == "delay":
-                    gevent.sleep(0.1)
-                if self.mode == "reset":
-                    break
-                is_cut = self.mode == "one_way" and is_back
-                if self.mode != "silent" and not is_cut:
-                    sink.sendall(data)
-        except OSError:
-            pass
-        finally:
-            for sock in (source, sink):
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.platform.soak import Soak
+from tests.platform.soak.soak import Soak
 
 SECONDS = 6.0
 # Seeds that failed once; the comment says why.
