Render metrics by the client library, and count every log event

Events of the log are now counted by name, also those whose lines were left out by rate, as `sardinewheel_events_total`: after a storm the counts are whole where the lines are not.

Ruled out: structlog for the lines.

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -26,7 +26,7 @@
     CallerGoneError,
 )
 from sardinewheel_gateway.exchange import Exchange
-from sardinewheel_gateway.metrics import Metrics
+from sardinewheel_gateway.metrics import Metrics, Series
 from sardinewheel_gateway.policy.beliefs import Beliefs
 from sardinewheel_gateway.policy.placement import Ask, Placed, Refused
 from sardinewheel_gateway.policy.routes import Route
@@ -123,7 +123,7 @@
             value = f"{retry_after_s:.2f}".encode()
             headers = [*headers, (b"retry-after", value)]
         took_s = clock.steady() - exchange.head.received_at
-        self.metrics.answered("own", reason, str(status), took_s)
+        self.metrics.answered(Series("own", reason, str(status)), took_s)
         self.log.info(
             "request-refused" if status == UNAVAILABLE else "request-failed",
             request=caller.request_id,
@@ -350,9 +350,8 @@
     def _log_answer(self, answered: Answered, *, is_success: bool) -> None:
         took_s = self.age_s
         status = answered.incoming.status
-        self.forwarder.metrics.answered(
-            self.service, self.route.name, str(status), took_s
-        )
+        series = Series(self.service, self.route.name, str(status))
+        self.forwarder.metrics.answered(series, took_s)
         is_late = took_s > self.route.objective_s
         is_routine = is_success and not is_late
         (self.log.request if is_routine else self.log.info)(
--- a/packages/gateway/sardinewheel_gateway/log.py
+++ b/packages/gateway/sardinewheel_gateway/log.py
@@ -6,7 +6,7 @@
 """
 
 import sys
-from collections import deque
+from collections import Counter, deque
 
 import gevent
 from gevent.event import Event
@@ -30,6 +30,7 @@
         lost: Lines that were dropped because the reader was too slow.
         routine: Limits lines of requests that went as they should.
         others: Limits all other lines.
+        events: How often each event was logged, or would have been.
     """
 
     def __init__(self, *, host: str, level: str = "info", descriptor=None):
@@ -37,6 +38,7 @@
         self.least = LEVELS.index(level)
         self.lines: deque[str] = deque()
         self.lost = 0
+        self.events: Counter[str] = Counter()
         self.routine = RateLimit(MAX_ROUTINE_PER_S)
         self.others = RateLimit(MAX_OTHERS_PER_S)
         self.has_lines = Event()
@@ -86,6 +88,7 @@
     ) -> None:
         if level < self.least:
             return
+        self.events[event] += 1
         if not (limit or self.others).admits(clock.steady()):
             return
         if len(self.lines) >= MAX_QUEUED_LINES:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -216,7 +216,7 @@
             plain = to_plain(self.news.update_since(positions))
             exchange.respond(OK, CBOR_HEADERS, cbor2.dumps(plain))
         elif path.startswith(METRICS_PATH):
-            body = self.metrics.text(self._gauges()).encode()
+            body = self.metrics.text(self._gauges(), self.log.events)
             exchange.respond(OK, TEXT_HEADERS, body)
         else:
             exchange.respond(NOT_FOUND, [], b"")
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -67,3 +67,11 @@
     assert [limit.admits(5.0) for _ in range(4)] == [True, True, False, False]
     assert limit.omitted == 2
     assert limit.admits(6.0)
+
+
+def test_events_are_counted_also_when_their_lines_are_left_out():
+    _, log = pipe_log()
+    log.others = RateLimit(3)
+    for number in range(10):
+        log.info("target-gone", target=f"t{number}")
+    assert log.events["target-gone"] == 10
