Explain a request by its id: `sardinewheel-explain`

The way is now a command: it reads the logs of all hosts (collectors' prefixes are passed over), prints the lines of the request, of its targets and of its host around it, and says the cause in a sentence.

`attempt-ended` now names the object; the command tells an object's first request at a target from a target that is slow against all others.

--- /dev/null
+++ b/packages/cli/sardinewheel_cli/explain_main.py
@@ -0,0 +1,54 @@
+"""``sardinewheel-explain``: why a caller got what it got."""
+
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from sardinewheel_cli.errors import ExitStatus
+from sardinewheel_cli.log_lines import LogLine, read
+from sardinewheel_cli.walk import Walk
+
+
+@cappa.command(name="sardinewheel-explain")
+@dataclass
+class Explain:
+    """Finds a request in the logs of gateways, and the cause of its end.
+
+    Give the logs of all hosts; without a file, standard input is read.
+    """
+
+    request: Annotated[str, cappa.Arg(help="id of the request's attempt")]
+    logs: Annotated[
+        list[Path], cappa.Arg(num_args=-1, help="files with log lines")
+    ] = field(default_factory=list)
+
+    def __call__(self) -> None:
+        """Prints the lines by time, then the cause."""
+        walk = Walk.from_lines(self.request, self._lines())
+        for line in sorted((*walk.request, *walk.context)):
+            print(_shown(line, is_own=line in walk.request))
+        print(walk.cause())
+        if not walk.request:
+            raise cappa.Exit(code=ExitStatus.UNKNOWN)
+
+    def _lines(self) -> Iterator[LogLine]:
+        if not self.logs:
+            yield from read(sys.stdin)
+        for path in self.logs:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                yield from read(file)
+
+
+def _shown(line: LogLine, *, is_own: bool) -> str:
+    mark = "*" if is_own else " "
+    pairs = " ".join(f"{name}={value}" for name, value in line.fields.items())
+    return f"{mark} {line.time:.3f} {line.host} {line.event} {pairs}"
+
+
+def main() -> None:
+    """Runs the command."""
+    cappa.invoke(Explain)
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -240,6 +240,7 @@
             request=self.request.caller.request_id,
             outcome=type(attempt).__name__.lower(),
             detail=detail_of(attempt),
+            object=self.request.caller.object_key,
             target=placed.target.record.target_id,
             choice=placed.choice,
             load=placed.load,
