--- a/tests/cli/test_walk.py
+++ b/tests/cli/test_walk.py
@@ -4,61 +4,32 @@
 """
 
 import gevent
-import pytest
 from sardinewheel_cli.log_lines import read
 from sardinewheel_cli.walk import Walk
 
 from tests.gateway.house import (
-    House,
     answer,
+    breaks_off,
     read_all,
     request,
     serves,
+    sheds,
+    silent,
     wait_until,
 )
 
 
-@pytest.fixture
-def made():
-    houses = []
-
-    def make(*scripts, **fields):
-        houses.append(House(*scripts, **fields))
-        return houses[-1]
-
-    yield make
-    for house in houses:
-        house.close()
-
-
 def walk(house, number=1):
     """Returns what the log of a house tells of a request."""
     return Walk.from_lines(f"id-{number}", read(house.lines()))
 
 
-def sheds(sock, head, rest):
-    """Script: did not execute it, though it has free slots."""
-    sock.sendall(answer(head, status="503 Busy", more="X-Not-Run: 1\r\n"))
-    return rest
-
-
-def breaks_off(sock, head, rest):
-    """Script: half an answer."""
-    sock.sendall(answer(head, b"x" * 100)[:-50])
-    sock.close()
-
-
 def slow(sock, head, rest):
     """Script: answers after the objective."""
     gevent.sleep(0.3)
     return serves(sock, head, rest)
 
 
-def silent(sock, head, rest):
-    """Script: never answers."""
-    gevent.sleep(10)
-
-
 def test_refused_though_targets_were_free(made):
     house = made(sheds, max_attempts=1)
     assert b"503" in house.ask()
--- a/tests/gateway/house.py
+++ b/tests/gateway/house.py
@@ -131,6 +131,23 @@
     return rest
 
 
+def breaks_off(sock, head, rest):
+    """Script: half an answer."""
+    sock.sendall(answer(head, b"x" * 100)[:-50])
+    sock.close()
+
+
+def sheds(sock, head, rest):
+    """Script: says that it did not execute the request."""
+    sock.sendall(answer(head, status="503 Busy", more="X-Not-Run: 1\r\n"))
+    return rest
+
+
+def silent(sock, head, rest):
+    """Script: never answers."""
+    gevent.sleep(10)
+
+
 class House:
     """A front with targets.
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -6,27 +6,17 @@
 import pytest
 
 from tests.gateway.house import (
-    House,
     answer,
+    breaks_off,
     read_all,
     request,
     serves,
+    sheds,
+    silent,
     wait_until,
 )
 
 
-def breaks_off(sock, head, rest):
-    """Script: half an answer."""
-    sock.sendall(answer(head, b"x" * 100)[:-50])
-    sock.close()
-
-
-def sheds(sock, head, rest):
-    """Script: says that it did not execute the request."""
-    sock.sendall(answer(head, status="503 Busy", more="X-Not-Run: 1\r\n"))
-    return rest
-
-
 def fails(sock, head, rest):
     """Script: executed it and failed."""
     sock.sendall(answer(head, b"broken", status="500 Failed"))
@@ -39,24 +29,6 @@
     sock.close()
 
 
-def silent(sock, head, rest):
-    """Script: never answers."""
-    gevent.sleep(10)
-
-
-@pytest.fixture
-def made():
-    houses = []
-
-    def make(*scripts, **fields):
-        houses.append(House(*scripts, **fields))
-        return houses[-1]
-
-    yield make
-    for house in houses:
-        house.close()
-
-
 def first_meets(script):
     """Returns scripts of two targets: whoever is asked first runs one."""
     asked = []
