--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -10,7 +10,8 @@
 from gevent import socket
 
 ROOT = Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / "tests/platform/announced_gateway.py"
+PROGRAM = ROOT / "platform/main.py"
+RELAYED_PROGRAM = ROOT / "tests/platform/announced_gateway.py"
 FRONT, READY, CONTROL, DIRECTORY = 18144, 18140, 18146, 18143
 INTERNAL = 17660
 FIRST_RELAY = 100
@@ -40,19 +41,30 @@
 
 
 class GatewayProcess:
-    """One gateway, the real program; others reach it through a relay.
+    """One gateway, the real program.
 
     Attributes:
         number: Its number.
         name: Its name.
         ip: Its loopback address.
-        relay_ip: Address under which other gateways know it.
+        relay_ip: Address under which other gateways know it, if relayed.
+        program: File that is run.
         is_paused: Whether it was stopped by a signal.
         is_ending: Whether it was told to end, or killed.
     """
 
-    def __init__(self, number, store_address, folder, *, domain, domains):
+    def __init__(
+        self,
+        number,
+        store_address,
+        folder,
+        *,
+        domain,
+        domains,
+        is_relayed=True,
+    ):
         self.number = number
+        self.program = RELAYED_PROGRAM if is_relayed else PROGRAM
         self.name = f"host-{number}"
         net = f"127.0.{os.getpid() % 200 + 10}"
         self.ip = f"{net}.{number + 1}"
@@ -90,7 +102,7 @@
         }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, str(PROGRAM)],
+                [sys.executable, str(self.program)],
                 env=environment,
                 stdout=log,
                 stderr=log,
