Soak: planned changes all the time, a few kinds of faults in each phase

Cause: with all kinds of faults drawn alike, the store was harmed within 4 s of nearly every order, and orders were rare, so almost nothing was judged.

Drains, evacuations, configurations and reloads now make up half of what is brought about, beside three kinds of faults in a phase of 12 s.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -12,27 +12,42 @@
 GRACE_S = 6.0
 CONFIG_APPLY_S = 2.5
 AFTER_START_S = 6.0
+PHASE_S = 12.0
+KINDS_IN_PHASE = 3
+PLANNED_SHARE = 0.5
 NOT_FOUND = 404
 
 
 class Faults:
-    """Brings about one fault at a time; several may overlap.
+    """Brings about one change or fault at a time; several may overlap.
+
+    Most promises with a bound in time hold only while the store is well, so
+    each phase plays a few kinds of faults beside the planned changes.
 
     Attributes:
         house: All that can be harmed.
         rng: Chooses.
+        planned: What operators and targets do on any day.
+        kinds: All kinds of faults.
+        in_phase: Kinds that are played now.
+        phase_ends_at: When other kinds are chosen, on the steady clock.
     """
 
     def __init__(self, house, rng):
         self.house = house
         self.rng = rng
         self.promises = house.promises
+        self.planned = [
+            self.reload_gateway,
+            self.drain_target,
+            self.change_configuration,
+            self.evacuate,
+        ]
         self.kinds = [
             self.stop_gateway,
             self.kill_gateway,
             self.kill_many,
             self.pause_gateway,
-            self.reload_gateway,
             self.disturb_store,
             self.disturb_link,
             self.forget_store_connections,
@@ -40,16 +55,21 @@
             self.disturb_datagrams,
             self.disturb_control,
             self.crash_target,
-            self.drain_target,
             self.spoil_target,
             self.forget_target_connections,
-            self.change_configuration,
-            self.evacuate,
         ]
+        self.in_phase = self.kinds
+        self.phase_ends_at = 0.0
 
     def bring_one(self):
-        """Brings about one fault, and ends it again."""
-        self.rng.choice(self.kinds)()
+        """Brings about one change or fault, and ends it again."""
+        if self.rng.random() < PLANNED_SHARE:
+            self.rng.choice(self.planned)()
+            return
+        if time.monotonic() >= self.phase_ends_at:
+            self.phase_ends_at = time.monotonic() + PHASE_S
+            self.in_phase = self.rng.sample(self.kinds, KINDS_IN_PHASE)
+        self.rng.choice(self.in_phase)()
 
     def stop_gateway(self):
         """SIGTERM; it must end within its grace time."""
