Keep only the first places of each object's order of targets

Cause: the rank of every target was kept for every object, about 100 bytes each. 4,096 objects and 400 targets took 200 MB (a script on the policy alone), more than the memory of the smallest hosts of the grown sites. Ruled out: heartbeats and the book of hosts, which hold under 1 KB a host.

Now the first 8 places are kept; a change of targets keeps them exact, fewer than two left are made anew, and an object whose 8 are all full reads the whole order once. The assignment is the same (property test against the whole order, any series of joins and leaves).

--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -8,11 +8,10 @@
 """
 
 import math
-from bisect import insort
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from sardinewheel_gateway.policy import ranking
+from sardinewheel_gateway.policy.ranking import Ranking
 
 ROOM = 1.5
 MAX_OBJECTS = 4096
@@ -45,15 +44,14 @@
 
     Attributes:
         routes: Routes that use an object, by object; the oldest object first.
-        targets: Ids of the targets, sorted.
+        ranking: The targets in the order of each object.
         preferences: Targets by object.
         is_stale: Whether objects came that aren't evened out yet.
     """
 
     def __init__(self):
         self.routes: dict[str, set[str]] = {}
-        self.targets: tuple[str, ...] = ()
-        self.orders: dict[str, list[tuple[int, str]]] = {}
+        self.ranking = Ranking()
         self.preferences: dict[str, Preference] = {}
         self.is_stale = False
 
@@ -68,10 +66,11 @@
         """
         if not targets:
             return None
-        if targets != self.targets:
-            self._set_targets(targets)
+        if targets != self.ranking.members:
+            self.ranking.set_members(targets)
+            self.refresh()
         found = self.preferences.get(key)
-        return found or _first_two(self._order(key))
+        return found or _first_two(self._first(key))
 
     def add(self, key: str, route: str) -> bool:
         """Takes an object's use by a route; says whether it was new."""
@@ -83,7 +82,7 @@
         if len(self.routes) > MAX_OBJECTS:
             oldest = next(iter(self.routes))
             del self.routes[oldest]
-            self.orders.pop(oldest, None)
+            self.ranking.forget(oldest)
             self.preferences.pop(oldest, None)
         return True
 
@@ -99,11 +98,12 @@
         """Evens the objects out over the targets."""
         self.is_stale = False
         self.preferences.clear()
-        if not self.targets or len(self.routes) > MAX_EVENED_OBJECTS:
+        targets = self.ranking.members
+        if not targets or len(self.routes) > MAX_EVENED_OBJECTS:
             return
         total = sum(len(used) for used in self.routes.values())
-        limit = math.ceil(ROOM * total / len(self.targets))
-        loads = dict.fromkeys(self.targets, 0)
+        limit = math.ceil(ROOM * total / len(targets))
+        loads = dict.fromkeys(targets, 0)
         for key in sorted(self.routes):
             weight = len(self.routes[key])
             self.preferences[key] = self._assign(key, weight, limit, loads)
@@ -111,43 +111,30 @@
     def _assign(
         self, key: str, weight: int, limit: int, loads: dict[str, int]
     ) -> Preference:
-        order = [target for _, target in self._order(key)]
-        first = next((x for x in order if loads[x] + weight <= limit), None)
+        order = self._first(key)
+        first = _with_room(order, weight, limit, loads)
         if first is None:
-            first = min(order, key=loads.__getitem__)
+            whole = self.ranking.whole(key)
+            first = _with_room(whole, weight, limit, loads)
+            first = first or min(whole, key=loads.__getitem__)
         loads[first] += weight
         second = next((x for x in order if x != first), None)
         return Preference(first, second)
 
-    def _order(self, key: str) -> list[tuple[int, str]]:
-        """Returns the targets as the object ranks them."""
-        order = self.orders.get(key)
-        if order is None:
-            order = [_ranked(key, target) for target in self.targets]
-            order.sort()
-            if key in self.routes:
-                self.orders[key] = order
-        return order
-
-    def _set_targets(self, targets: tuple[str, ...]) -> None:
-        joined = set(targets) - set(self.targets)
-        left = set(self.targets) - set(targets)
-        self.targets = targets
-        for key, order in self.orders.items():
-            if left:
-                order[:] = [place for place in order if place[1] not in left]
-            for target in joined:
-                insort(order, _ranked(key, target))
-        self.refresh()
-
-
-def _ranked(key: str, target: str) -> tuple[int, str]:
-    return (-ranking.score(key, target), target)
-
-
-def _first_two(order: list[tuple[int, str]]) -> Preference:
-    second = order[1][1] if len(order) > 1 else None
-    return Preference(order[0][1], second)
+    def _first(self, key: str) -> list[str]:
+        """Returns the highest ranked targets of an object."""
+        return self.ranking.first(key, keep=key in self.routes)
+
+
+def _with_room(
+    order: list[str], weight: int, limit: int, loads: dict[str, int]
+) -> str | None:
+    """Returns the first target that still has room for a weight."""
+    return next((x for x in order if loads[x] + weight <= limit), None)
+
+
+def _first_two(order: list[str]) -> Preference:
+    return Preference(order[0], order[1] if len(order) > 1 else None)
 
 
 class ObjectBook:
--- a/tests/gateway/policy/test_objects.py
+++ b/tests/gateway/policy/test_objects.py
@@ -1,6 +1,7 @@
 """Objects are spread evenly, alike on all hosts, and stay put."""
 
 import math
+import tracemalloc
 
 from sardinewheel_gateway.policy.objects import (
     MAX_EVENED_OBJECTS,
@@ -137,3 +138,24 @@
     other.learn(news)
     assert other.all() == [use]
     assert other.take_news() == []
+
+
+def test_the_memory_does_not_grow_with_objects_times_targets():
+    targets = tuple(f"i-{n:08x}" for n in range(400))
+    object_map = ObjectMap()
+    tracemalloc.start()
+    for number in range(MAX_OBJECTS):
+        object_map.add(f"o{number}", "status")
+        object_map.preference(f"o{number}", targets)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert used < 12 * 1024 * 1024
+
+
+def test_an_object_whose_first_targets_are_full_goes_to_another():
+    targets = tuple(f"i-{n:08x}" for n in range(400))
+    object_map = ObjectMap()
+    for number in range(MAX_EVENED_OBJECTS):
+        object_map.add(f"o{number}", "status")
+    chosen = loads(object_map, targets)
+    assert max(chosen.values()) <= most(MAX_EVENED_OBJECTS, targets)
--- /dev/null
+++ b/tests/gateway/policy/test_ranking.py
@@ -0,0 +1,36 @@
+"""The first places of each key follow members that come and go."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from sardinewheel_gateway.policy.ranking import KEPT_RANKS, Ranking, ranked
+
+MEMBERS = [f"t{n:02}" for n in range(24)]
+KEYS = ["a", "b", "c"]
+SETS = st.lists(st.sets(st.sampled_from(MEMBERS)), min_size=1, max_size=12)
+
+
+@given(SETS)
+def test_the_first_places_are_those_of_the_whole_order(changes):
+    ranking = Ranking()
+    for members in changes:
+        ranking.set_members(tuple(sorted(members)))
+        for key in KEYS:
+            whole = ranked(key, members)
+            first = ranking.first(key, keep=True)
+            assert first == whole[: len(first)]
+            assert len(first) >= min(2, len(members))
+            assert ranking.whole(key) == whole
+
+
+def test_a_change_of_members_keeps_few_places():
+    ranking = Ranking()
+    for count in range(len(MEMBERS)):
+        ranking.set_members(tuple(MEMBERS[:count]))
+        assert len(ranking.first("a", keep=True)) <= KEPT_RANKS
+
+
+def test_keys_that_are_not_kept_take_no_memory():
+    ranking = Ranking()
+    ranking.set_members(tuple(MEMBERS))
+    ranking.first("a", keep=False)
+    assert ranking.kept == {}
