Notice a store that is silent to all hosts at once

Cause, from the logs: open connections to the store had gone silent to all followers at once. A feed waits 25 s where other regions have followers too, since one that hears tells the others; here none heard, for up to 18.6 s. Keep-alive probes don't show it, as the relay between acknowledges them. Ruled out: lost datagrams (the followers had nothing to tell) and the end of the harm (the connections stay silent after it).

A feed now waits 0.49 to 0.7 of `Contact`, spread, so that a silent store is noticed within it: 2 to 2.8 s of 4 s, and 0.26 to 0.375 of it where no other region tells.

--- a/packages/gateway/sardinewheel_gateway/news.py
+++ b/packages/gateway/sardinewheel_gateway/news.py
@@ -25,8 +25,10 @@
 )
 from sardinewheel_gateway.relay import Relay, is_ahead
 
-FEED_WAIT_S = 25.0
-LONE_FEED_WAIT_S = 1.5
+# Leaves time for the answer's delay, a new connection and the news.
+FEED_WAIT_SHARE = 0.7
+LONE_FEED_WAIT_SHARE = 0.375
+FEED_WAIT_SPREAD = 0.3
 
 
 class News:
@@ -38,6 +40,8 @@
         history: Last change of each target.
         following: Decides whether this host follows the store.
         relay: Asks other hosts for what was missed.
+        silence_s: Seconds within which a silent store must be noticed.
+        rng: Spreads waits.
         sources_lost: Tables of the store that can't be read now.
         on_change: Called after news were applied.
         on_target_gone: Called with the id of a target that has gone or
@@ -51,12 +55,15 @@
         gossip: Gossip,
         log,
         rng: random.Random,
+        silence_s: float,
         on_change: Callable[[], None],
         on_target_gone: Callable[[str], None],
     ):
         self.beliefs = beliefs
         self.gossip = gossip
         self.log = log
+        self.rng = rng
+        self.silence_s = silence_s
         self.on_change = on_change
         self.on_target_gone = on_target_gone
         self.history = TargetHistory()
@@ -136,11 +143,14 @@
     def feed_wait_s(self) -> float:
         """Seconds that the store may take to say that nothing changed.
 
-        Followers of other regions would show that the store is silent; where
-        there are none, only its answers do.
+        Connections may go silent for good, those of all hosts at once. A
+        follower that hears earlier than others tells them, so the waits are
+        spread; where no other region has one, they are shorter.
         """
         has_others = bool(self.gossip.book.far_followers())
-        return FEED_WAIT_S if has_others else LONE_FEED_WAIT_S
+        share = FEED_WAIT_SHARE if has_others else LONE_FEED_WAIT_SHARE
+        spread = 1.0 - FEED_WAIT_SPREAD * self.rng.random()
+        return self.silence_s * share * spread
 
     def registry_returned(self, *, away_s: float) -> None:
         """Notes that the targets' records can be read again.
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -59,6 +59,7 @@
         seeds: Heartbeat addresses of other hosts, which may be stale.
         grace_s: Seconds from the order to stop to the end of the process.
         max_lookup_ttl_s: Seconds that callers may keep an answer at most.
+        silence_s: Seconds within which a silent store must be noticed.
         bounds: Bounds over all hosts together.
         capacity: Size of the host, for duties that go to the largest.
         log_level: Least severe level that is logged.
@@ -79,6 +80,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     max_lookup_ttl_s: float
+    silence_s: float
     bounds: Bounds
     capacity: int = 0
     log_level: str = "info"
@@ -126,6 +128,7 @@
             gossip=self.gossip,
             log=self.log,
             rng=self.rng,
+            silence_s=settings.silence_s,
             on_change=self._news_applied,
             on_target_gone=self.forwarder.sender.pool.drop,
         )
