Put the platform's store behind a `Source`; test the process by one of its own

`sources.Source` is the interface: `run(news)`. The adapter's `StoreFollower` is one, a list of updates in tests/gateway/test_process.py another, which plays the gateway process without the platform: readiness, look-ups, versions, evacuations, updates for other hosts, metrics. No behaviour changes.

--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -3,6 +3,7 @@
 import random
 import signal
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import cbor2
@@ -26,6 +27,7 @@
 )
 from sardinewheel_gateway.policy.updates import to_plain
 from sardinewheel_gateway.relay import asked_positions
+from sardinewheel_gateway.sources import Source
 from sardinewheel_gateway.supervision import keep_running
 
 TICK_S = 0.25
@@ -90,19 +92,21 @@
 class Gateway:
     """A gateway process.
 
-    Adapters tell it what operators and targets wrote through
-    :attr:`news`, while that wants this host to follow the store.
-
     Attributes:
         settings: Its settings.
+        contract: Reads and writes the platform's headers.
+        source: Where operators and targets write to.
         beliefs: What it decides with.
         news: What it has heard of operators and targets.
         is_leaving: Whether it was told to stop.
     """
 
-    def __init__(self, settings: GatewaySettings, contract: Contract):
+    def __init__(
+        self, settings: GatewaySettings, contract: Contract, source: Source
+    ):
         self.settings = settings
         self.contract = contract
+        self.source = source
         self.log = Log(host=settings.name, level=settings.log_level)
         self.metrics = Metrics()
         self.rng = random.Random()
@@ -160,6 +164,7 @@
         self.gossip.start()
         keep_running("tick", self._tick_forever, self.log)
         keep_running("relay", self.news.relay.run, self.log)
+        keep_running("follow", partial(self.source.run, self.news), self.log)
 
     def run(self, *, on_reload: Callable[[], None] | None = None) -> None:
         """Runs until the process was told to stop and has finished."""
--- /dev/null
+++ b/tests/gateway/test_process.py
@@ -0,0 +1,188 @@
+"""A gateway in this process, told by a source of the tests."""
+
+import gevent
+import pytest
+from sardinewheel_gateway.policy.routes import Configuration
+from sardinewheel_gateway.policy.updates import (
+    NOTHING_KNOWN,
+    OperatorsUpdate,
+    RecordChange,
+    TargetsUpdate,
+    Update,
+)
+from sardinewheel_gateway.process import Gateway, GatewaySettings
+
+from tests.gateway.house import (
+    BOUNDS,
+    CLOSE,
+    LIMITS,
+    ORDERS,
+    PlainContract,
+    ScriptedTarget,
+    read_all,
+    request,
+    serves,
+    wait_until,
+)
+from tests.gateway.policy.test_routes import route
+from tests.gateway.policy.test_targets import record
+
+
+class ListSource:
+    """Tells a list of updates, then waits for more."""
+
+    def __init__(self, *updates):
+        self.updates = list(updates)
+
+    def run(self, news):
+        while True:
+            while self.updates and news.follows_store():
+                news.heard_from_store(self.updates.pop(0))
+            gevent.sleep(0.02)
+
+
+def free_address():
+    """Returns an address that nobody listens on."""
+    sock = gevent.socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    return f"127.0.0.1:{port}"
+
+
+def operators(version, position, *, prefix="/orders/", evacuated=()):
+    routes = (route("orders", prefix),)
+    configuration = Configuration(version, routes, {"orders": ORDERS}, LIMITS)
+    return Update(
+        operators=OperatorsUpdate(position, configuration, frozenset(evacuated))
+    )
+
+
+def registered(target, position=5):
+    made = record("t0", address=target.address)
+    change = RecordChange("t0", position, made)
+    return Update(targets=TargetsUpdate(NOTHING_KNOWN, position, (change,)))
+
+
+class Played:
+    """A gateway with one target.
+
+    Attributes:
+        source: Where its news come from.
+        gateway: The gateway.
+    """
+
+    def __init__(self):
+        self.target = ScriptedTarget(serves)
+        self.source = ListSource()
+        names = ("front", "readiness", "lookup", "control", "metrics", "gossip")
+        settings = GatewaySettings(
+            name="a",
+            domain="north-a",
+            region="north",
+            regions={"north-a": "north"},
+            **{name: free_address() for name in names},
+            seeds=(),
+            grace_s=6.0,
+            max_lookup_ttl_s=5.0,
+            silence_s=4.0,
+            bounds=BOUNDS,
+        )
+        self.gateway = Gateway(settings, PlainContract(), self.source)
+        self.gateway.start()
+
+    def get(self, address, path="/orders/1"):
+        """Returns the answer to a request, as it came."""
+        host, _, port = address.rpartition(":")
+        sock = gevent.socket.create_connection((host, int(port)))
+        sock.settimeout(5.0)
+        data = request(more=CLOSE).replace(b"/orders/1", path.encode())
+        sock.sendall(data)
+        return read_all(sock)
+
+    def close(self):
+        """Stops all."""
+        self.gateway.gossip.stop()
+        for server in (self.gateway.front, *self.gateway.others):
+            server.listener.stop()
+        self.target.server.stop()
+
+
+@pytest.fixture
+def played():
+    made = Played()
+    yield made
+    made.close()
+
+
+def is_ready(played):
+    answer = played.get(played.gateway.settings.readiness, "/ready")
+    return answer.startswith(b"HTTP/1.1 200")
+
+
+def test_it_is_ready_once_the_source_has_told_both(played):
+    assert not is_ready(played)
+    answer = played.get(played.gateway.settings.front)
+    assert b" 503 " in answer
+    assert b"retry-after" in answer.lower()
+    played.source.updates = [operators(1, 3)]
+    wait_until(lambda: played.gateway.beliefs.version == 1)
+    assert not is_ready(played)
+    played.source.updates = [registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    assert b" 200 " in played.get(played.gateway.settings.front)
+
+
+def test_a_look_up_names_it_while_it_is_ready(played):
+    lookup = played.gateway.settings.lookup
+    front = played.gateway.settings.front.encode()
+    assert front not in played.get(lookup, "/lookup")
+    played.source.updates = [operators(1, 3), registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    assert front in played.get(lookup, "/lookup")
+
+
+def test_a_newer_version_changes_routes_and_an_older_one_does_not(played):
+    played.source.updates = [operators(4, 3), registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    played.source.updates = [operators(7, 6, prefix="/new/")]
+    wait_until(lambda: played.gateway.beliefs.version == 7)
+    front = played.gateway.settings.front
+    assert b" 404 " in played.get(front)
+    assert b" 200 " in played.get(front, "/new/1")
+    played.source.updates = [operators(5, 7)]
+    wait_until(lambda: played.gateway.news.positions.operators == 7)
+    assert b" 404 " in played.get(front)
+
+
+def test_an_evacuated_domain_gets_nothing_until_it_is_given_back(played):
+    played.source.updates = [operators(1, 3), registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    played.source.updates = [operators(1, 6, evacuated=["north-a"])]
+    wait_until(lambda: played.gateway.news.positions.operators == 6)
+    assert b" 503 " in played.get(played.gateway.settings.front)
+    played.source.updates = [operators(1, 8)]
+    wait_until(lambda: played.gateway.news.positions.operators == 8)
+    assert b" 200 " in played.get(played.gateway.settings.front)
+
+
+def test_another_host_is_told_all_that_it_knows(played):
+    played.source.updates = [operators(1, 3), registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    control = played.gateway.settings.control
+    path = "/v1/update?operators=-1&targets=-1"
+    answer = played.get(control, path)
+    assert b" 200 " in answer
+    assert b"t0" in answer
+    known = played.get(control, "/v1/update?operators=3&targets=5")
+    assert b"t0" not in known
+
+
+def test_metrics_show_what_was_asked_and_what_is_in_force(played):
+    played.source.updates = [operators(9, 3), registered(played.target)]
+    wait_until(lambda: is_ready(played))
+    played.get(played.gateway.settings.front)
+    text = played.get(played.gateway.settings.metrics, "/metrics").decode()
+    assert "sardinewheel_configuration_version 9.0" in text
+    assert 'route="orders",service="orders"} 1.0' in text
+    assert 'sardinewheel_events_total{event="target-joined"} 1.0' in text
