--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -13,7 +13,7 @@
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.contract import Contract
 from sardinewheel_gateway.exchange import Exchange
-from sardinewheel_gateway.forwarding import Forwarder
+from sardinewheel_gateway.forwarder import Forwarder
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.http_server import HttpServer
 from sardinewheel_gateway.log import Log
--- a/tests/gateway/house.py
+++ b/tests/gateway/house.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.contract import Caller, Lookup, Verdict
-from sardinewheel_gateway.forwarding import Forwarder
+from sardinewheel_gateway.forwarder import Forwarder
 from sardinewheel_gateway.http_server import HttpServer
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.messages import value_of
