Send heartbeats by turns in regions of more than 33 hosts

Each host sent 2.5 heartbeats a second to each other host of its region: 250 datagrams a second at 100 hosts a region, 18 KB/s by the sizes in CAPACITY, and 1,100 at the target's 444.

The first six hosts of a region's order, which read the store or stand in, still reach all each time, and all reach them, since news and substitutes hang on their heartbeats. The others reach each other by turns, every fourth time at the latest (1.6 s; 3.5 s of silence count as gone). Regions of 33 hosts and fewer, so all of the users' sites, are as before. Ruled out for now: passing pulses on with their age, which would bound the six as well, but changes when a follower counts as silent.

--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.policy.beats import near_hosts
 from sardinewheel_gateway.policy.hosts import (
     HostBook,
     HostState,
@@ -74,17 +75,24 @@
         gevent.killall(self.tasks)
         self.sock.close()
 
-    def beat(self, *, is_far_due: bool = True) -> None:
+    def beat(
+        self, *, is_far_due: bool = True, near: list[HostState] | None = None
+    ) -> None:
         """Sends this host's state to the hosts that it knows.
 
         Near hosts mostly get the part that changes only.
+
+        Args:
+            is_far_due: Whether the hosts of other regions get it, too.
+            near: Hosts of this region that get it; all if not given.
         """
         own = self.book.own
         own = self.book.own = own._replace(sequence=own.sequence + 1)
         is_whole = own.sequence <= WHOLE_EVERY or is_far_due
         message = _heartbeat(own, []) if is_whole else _pulse(own)
         data = cbor2.dumps(message)
-        addresses = self._near()
+        chosen = self.book.near() if near is None else near
+        addresses = {host.gossip for host in chosen}
         if is_far_due:
             addresses |= self._far().union(self.seeds) - {own.gossip}
         for address in addresses:
@@ -138,9 +146,7 @@
                 self._send(address, data)
 
     def _near(self) -> set[str]:
-        region = self.book.own.region
-        states = (peer.state for peer in self.book.peers.values())
-        return {x.gossip for x in states if x.region == region}
+        return {host.gossip for host in self.book.near()}
 
     def _far(self) -> set[str]:
         region = self.book.own.region
@@ -150,8 +156,12 @@
     def _beat_forever(self) -> None:
         count = 0
         while True:
-            self.beat(is_far_due=count % FAR_EVERY == 0)
-            self.book.expire(now=clock.steady())
+            now = clock.steady()
+            self.beat(
+                is_far_due=count % FAR_EVERY == 0,
+                near=near_hosts(self.book, count, now=now),
+            )
+            self.book.expire(now=now)
             count += 1
             gevent.sleep(NEAR_INTERVAL_S)
 
--- a/packages/gateway/sardinewheel_gateway/policy/following.py
+++ b/packages/gateway/sardinewheel_gateway/policy/following.py
@@ -87,6 +87,13 @@
             self.needless_since = None
 
 
+def first_hosts(book: HostBook, count: int, *, now: float) -> list[HostState]:
+    """Returns the hosts of the own region that come first, live ones only."""
+    own = book.own
+    near = [x for x in book.live(now=now) if x.region == own.region]
+    return sorted(near, key=_order)[:count]
+
+
 def _order(host: HostState) -> tuple[int, int]:
     """Returns a host's place; the largest hosts come first."""
     return (-host.capacity, ranking.score(host.region, host.name))
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -164,6 +164,12 @@
             if name in self.peers
         )
 
+    def near(self) -> list[HostState]:
+        """Returns the other hosts of this region, silent ones too."""
+        region = self.own.region
+        states = (peer.state for peer in self.peers.values())
+        return [state for state in states if state.region == region]
+
     def far_followers(self) -> list[HostState]:
         """Returns the hosts of other regions that follow the store."""
         return [
