--- a/packages/gateway/sardinewheel_gateway/policy/beats.py
+++ b/packages/gateway/sardinewheel_gateway/policy/beats.py
@@ -13,7 +13,7 @@
 # Two in a row may be lost before a host counts as silent. Without a common
 # divisor with the number of heartbeats from one whole state to the next.
 MOST_TURNS = 3
-LEADING = 6
+LEADING = 4
 
 
 def near_hosts(book: HostBook, beat: int, *, now: float) -> list[HostState]:
