--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -12,8 +12,10 @@
 from gevent import socket
 
 from sardinewheel_gateway import clock
-from sardinewheel_gateway.policy.beats import near_hosts
+from sardinewheel_gateway.policy.beats import far_hosts, near_hosts
 from sardinewheel_gateway.policy.hosts import (
+    BEAT_INTERVAL_S,
+    FAR_EVERY,
     HostBook,
     HostState,
     Pulse,
@@ -27,8 +29,6 @@
 )
 from sardinewheel_gateway.supervision import keep_running
 
-NEAR_INTERVAL_S = 0.4
-FAR_EVERY = 10
 MAX_DATAGRAM_BYTES = 2048
 MAX_INTRODUCED = 8
 UNREADABLE = (ValueError, TypeError, LookupError, cbor2.CBORDecodeError)
@@ -76,7 +76,11 @@
         self.sock.close()
 
     def beat(
-        self, *, is_far_due: bool = True, near: list[HostState] | None = None
+        self,
+        *,
+        is_far_due: bool = True,
+        near: list[HostState] | None = None,
+        far: list[HostState] | None = None,
     ) -> None:
         """Sends this host's state to the hosts that it knows.
 
@@ -85,6 +89,7 @@
         Args:
             is_far_due: Whether the hosts of other regions get it, too.
             near: Hosts of this region that get it; all if not given.
+            far: Hosts of other regions that do; all if not given.
         """
         own = self.book.own
         own = self.book.own = own._replace(sequence=own.sequence + 1)
@@ -94,7 +99,9 @@
         chosen = self.book.near() if near is None else near
         addresses = {host.gossip for host in chosen}
         if is_far_due:
-            addresses |= self._far().union(self.seeds) - {own.gossip}
+            chosen = self.book.far() if far is None else far
+            addresses |= {host.gossip for host in chosen}
+            addresses |= set(self.seeds) - {own.gossip}
         for address in addresses:
             self._send(address, data)
 
@@ -148,11 +155,6 @@
     def _near(self) -> set[str]:
         return {host.gossip for host in self.book.near()}
 
-    def _far(self) -> set[str]:
-        region = self.book.own.region
-        states = (peer.state for peer in self.book.peers.values())
-        return {x.gossip for x in states if x.region != region}
-
     def _beat_forever(self) -> None:
         count = 0
         while True:
@@ -160,10 +162,11 @@
             self.beat(
                 is_far_due=count % FAR_EVERY == 0,
                 near=near_hosts(self.book, count, now=now),
+                far=far_hosts(self.book, count // FAR_EVERY, now=now),
             )
             self.book.expire(now=now)
             count += 1
-            gevent.sleep(NEAR_INTERVAL_S)
+            gevent.sleep(BEAT_INTERVAL_S)
 
     def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(":")
--- a/packages/gateway/sardinewheel_gateway/policy/following.py
+++ b/packages/gateway/sardinewheel_gateway/policy/following.py
@@ -87,11 +87,12 @@
             self.needless_since = None
 
 
-def first_hosts(book: HostBook, count: int, *, now: float) -> list[HostState]:
-    """Returns the hosts of the own region that come first, live ones only."""
-    own = book.own
-    near = [x for x in book.live(now=now) if x.region == own.region]
-    return sorted(near, key=_order)[:count]
+def first_hosts(
+    book: HostBook, region: str, count: int, *, now: float
+) -> list[HostState]:
+    """Returns the hosts of a region that come first, live ones only."""
+    there = [x for x in book.live(now=now) if x.region == region]
+    return sorted(there, key=_order)[:count]
 
 
 def _order(host: HostState) -> tuple[int, int]:
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -11,6 +11,10 @@
 SILENCE_S = 3.5
 FAR_SILENCE_S = 6.0
 FORGET_S = 60.0
+BEAT_INTERVAL_S = 0.4
+FAR_EVERY = 10
+FAR_INTERVAL_S = BEAT_INTERVAL_S * FAR_EVERY
+LARGE_FLEET = 64
 
 
 class StoreAccess(IntEnum):
@@ -145,10 +149,17 @@
 
     def live(self, *, now: float) -> list[HostState]:
         """Returns this host and all that were heard from lately."""
+        turns = self.far_turns()
+        heard_regions = {
+            peer.state.region
+            for peer in self.peers.values()
+            if now - peer.heard_at < FAR_SILENCE_S
+        }
         heard = [
             peer.state
             for peer in self.peers.values()
-            if now - peer.heard_at < self._silence_s(peer.state)
+            if now - peer.heard_at < self._silence_s(peer.state, turns)
+            and peer.state.region in heard_regions
         ]
         return [self.own, *heard]
 
@@ -170,6 +181,16 @@
         states = (peer.state for peer in self.peers.values())
         return [state for state in states if state.region == region]
 
+    def far(self) -> list[HostState]:
+        """Returns the hosts of other regions, silent ones too."""
+        region = self.own.region
+        states = (peer.state for peer in self.peers.values())
+        return [state for state in states if state.region != region]
+
+    def far_turns(self) -> int:
+        """Returns over how many far heartbeats the far hosts are dealt."""
+        return max(1, -(-len(self.far()) // LARGE_FLEET))
+
     def far_followers(self) -> list[HostState]:
         """Returns the hosts of other regions that follow the store."""
         return [
@@ -185,10 +206,11 @@
         else:
             self.following_since.pop(state.name, None)
 
-    def _silence_s(self, state: HostState) -> float:
+    def _silence_s(self, state: HostState, turns: int) -> float:
         """Returns for how long a live host may be silent."""
-        is_near = state.region == self.own.region
-        return SILENCE_S if is_near else FAR_SILENCE_S
+        if state.region == self.own.region:
+            return SILENCE_S
+        return FAR_SILENCE_S + (turns - 1) * FAR_INTERVAL_S
 
     def names(self) -> tuple[str, ...]:
         """Returns the names of all known hosts, also silent ones."""
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -25,7 +25,7 @@
     HostState,
     entry_hosts,
 )
-from sardinewheel_gateway.policy.updates import to_plain
+from sardinewheel_gateway.policy.updates import Positions, to_plain
 from sardinewheel_gateway.relay import asked_positions
 from sardinewheel_gateway.sources import Source
 from sardinewheel_gateway.supervision import keep_running
@@ -35,6 +35,7 @@
 MAX_LOOKUP_ADDRESSES = 64
 STOP_LINGER_S = 2.5
 STOP_MARGIN_S = 0.8
+KEEP_TOLD_S = 0.3
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -89,6 +90,24 @@
     announced_ip: str = ""
 
 
+class Told(NamedTuple):
+    """An encoded update, kept while others ask for the same.
+
+    Attributes:
+        key: From which position it leads to which one.
+        made_at: When it was made, on the steady clock.
+        body: The update.
+    """
+
+    key: tuple[Positions, Positions]
+    made_at: float
+    body: bytes
+
+    def is_stale(self, key: tuple[Positions, Positions], now: float) -> bool:
+        """Says whether another one must be made."""
+        return self.key != key or now - self.made_at > KEEP_TOLD_S
+
+
 class Gateway:
     """A gateway process.
 
@@ -99,6 +118,7 @@
         beliefs: What it decides with.
         news: What it has heard of operators and targets.
         is_leaving: Whether it was told to stop.
+        told: The last update that another host asked for.
     """
 
     def __init__(
@@ -111,6 +131,7 @@
         self.metrics = Metrics()
         self.rng = random.Random()
         self.is_leaving = False
+        self.told: Told | None = None
         self.beliefs = Beliefs(
             host=settings.name,
             bounds=settings.bounds,
@@ -221,14 +242,26 @@
             is_ready = self.book.own.is_ready
             exchange.respond(OK if is_ready else UNAVAILABLE, [], b"")
         elif (positions := asked_positions(path)) is not None:
-            plain = to_plain(self.news.update_since(positions))
-            exchange.respond(OK, CBOR_HEADERS, cbor2.dumps(plain))
+            body = self._update_since(positions)
+            exchange.respond(OK, CBOR_HEADERS, body)
         elif path.startswith(METRICS_PATH):
             body = self.metrics.text(self._gauges(), self.log.events)
             exchange.respond(OK, TEXT_HEADERS, body)
         else:
             exchange.respond(NOT_FOUND, [], b"")
 
+    def _update_since(self, positions: Positions) -> bytes:
+        """Returns what a host is missing, encoded.
+
+        Many hosts may ask for the same: all of a region that start at once.
+        """
+        now = clock.steady()
+        key = (positions, self.news.positions)
+        if self.told is None or self.told.is_stale(key, now):
+            plain = to_plain(self.news.update_since(positions))
+            self.told = Told(key, now, cbor2.dumps(plain))
+        return self.told.body
+
     def _gauges(self) -> dict[str, float]:
         return {
             "configuration_version": self.beliefs.version,
--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -28,6 +28,8 @@
 INTERVAL_S = 0.5
 SETTLE_S = 0.05
 STORE_LAG_S = 1.2
+# By then a host of the region has read the store, if it can be read.
+FAR_START_WAIT_S = 0.8
 MAX_PUSH_BYTES = 1300
 OK = 200
 
@@ -40,6 +42,7 @@
         on_lag: Called when the store is late with what others know.
         ahead_since: Since when others know more though this host follows the
             store.
+        started_at: When this host started, on the steady clock.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         self.apply_update = apply_update
         self.on_lag = on_lag
         self.ahead_since: float | None = None
+        self.started_at = clock.steady()
         self.log = log
         self.rng = rng
         self.hint = Event()
@@ -113,11 +117,19 @@
         return False
 
     def _ahead(self) -> list[HostState]:
-        """Returns live hosts that know more, those of this region first."""
+        """Returns live hosts that know more, those of this region first.
+
+        A host that has just started knows nothing, and what it would be told
+        is large: it gives its region time before it asks another one.
+        """
         own = self.book.own
-        others = self.book.live(now=clock.steady())[1:]
+        now = clock.steady()
+        others = self.book.live(now=now)[1:]
         ahead = [p for p in others if is_ahead(p.positions, own.positions)]
         near = [peer for peer in ahead if peer.region == own.region]
+        is_starting = now - self.started_at < FAR_START_WAIT_S
+        if not near and is_starting and own.positions == Positions():
+            return []
         found = near or ahead
         newest = max((sum(peer.positions) for peer in found), default=0)
         return [peer for peer in found if sum(peer.positions) == newest]
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -16,6 +16,8 @@
 INTERNAL = 17660
 FIRST_RELAY = 100
 SEEDS = 2
+STARVED_S = 0.4
+NANOSECONDS_PER_S = 1e9
 
 SETTINGS = """
 Node = "{name}"
@@ -51,6 +53,8 @@
         program: File that is run.
         is_paused: Whether it was stopped by a signal.
         is_ending: Whether it was told to end, or killed.
+        starved: Spans in which it waited for a processor, by the kernel's
+            count.
     """
 
     def __init__(
@@ -93,6 +97,8 @@
         self.is_paused = False
         self.is_ending = False
         self.disturbed_until = 0.0
+        self.starved = []
+        self.waited_s = 0.0
 
     def start(self):
         """Starts the program."""
@@ -109,6 +115,21 @@
                 cwd=ROOT,
             )
         self.is_ending = False
+        self.waited_s = 0.0
+
+    def watch_processor(self):
+        """Notes a span in which it was ready to run, but didn't."""
+        try:
+            text = Path(f"/proc/{self.popen.pid}/schedstat").read_text()
+        except OSError:
+            # It has just ended.
+            return
+        waited_s = int(text.split()[1]) / NANOSECONDS_PER_S
+        now = time.monotonic()
+        # The kernel counts a wait when it is over.
+        if waited_s - self.waited_s > STARVED_S:
+            self.starved.append((now - (waited_s - self.waited_s), now))
+        self.waited_s = waited_s
 
     def signal(self, number):
         """Sends a signal to the process."""
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -138,6 +138,7 @@
         """Notes for ever when a gateway ended by itself."""
         while True:
             for gateway in self.gateways:
+                gateway.watch_processor()
                 if gateway.popen.poll() is not None and not gateway.is_ending:
                     status = gateway.popen.returncode
                     self.promises.found(f"{gateway.name} ended: {status}")
