Place among thousands of targets without reading them all for each request

The usable targets of a service and its home regions are kept with their ids until they change; over 262,144 pairs of objects and targets (1,024 of 256; the users' sites have fewer) objects are no longer evened out but go to their highest ranked target, which is found when first asked for.

--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -16,6 +16,8 @@
 ROOM = 1.5
 MAX_OBJECTS = 4096
 MAX_EVENED_OBJECTS = 1024
+# Evening out reads the order of each object, of all targets once.
+MAX_EVENED_PAIRS = 1024 * 256
 
 
 class ObjectUse(NamedTuple):
@@ -99,8 +101,11 @@
         self.is_stale = False
         self.preferences.clear()
         targets = self.ranking.members
+        pairs = len(self.routes) * len(targets)
         if not targets or len(self.routes) > MAX_EVENED_OBJECTS:
             return
+        if pairs > MAX_EVENED_PAIRS:
+            return
         total = sum(len(used) for used in self.routes.values())
         limit = math.ceil(ROOM * total / len(targets))
         loads = dict.fromkeys(targets, 0)
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -24,6 +24,7 @@
 RETURN_JITTER = 0.5
 NO_TARGET_RETURN_S = 0.5
 NEVER_REPORTED_S = 999.0
+MAX_USABLE_KEPT = 64
 
 
 class Ask(NamedTuple):
@@ -74,6 +75,26 @@
     load: float = 0.0
 
 
+class Usable(NamedTuple):
+    """Targets that may execute the requests of a route.
+
+    Attributes:
+        source: The list that they were chosen from.
+        ids: Their ids, sorted.
+        by_id: The targets by id.
+    """
+
+    source: list[Target]
+    ids: tuple[str, ...]
+    by_id: dict[str, Target]
+
+    @classmethod
+    def of(cls, source: list[Target], targets: list[Target]) -> "Usable":
+        """Returns targets chosen from a sorted list."""
+        by_id = {target.record.target_id: target for target in targets}
+        return cls(source, tuple(by_id), by_id)
+
+
 class Placer:
     """Places requests.
 
@@ -83,6 +104,8 @@
         cold: Admission of cold targets.
         objects: Objects by service.
         regions: Region of each failure domain.
+        usable: Usable targets by service and home regions, kept until they
+            change.
     """
 
     def __init__(
@@ -101,11 +124,12 @@
         self.rng = rng
         self.objects = ObjectBook()
         self.cold_rates: dict[str, float] = {}
+        self.usable: dict[tuple[str, frozenset[str]], Usable] = {}
 
     def place(self, ask: Ask, now: float) -> Placed | Refused:
         """Returns the target for a request."""
         usable = self._usable(ask)
-        if not usable:
+        if not usable.ids:
             return Refused("no-target", self._return_s(NO_TARGET_RETURN_S))
         candidates = self._candidates(ask, usable, now)
         if not candidates:
@@ -120,29 +144,34 @@
             return Refused("overload", self._return_s(wait_s), best.load)
         return best
 
-    def _usable(self, ask: Ask) -> list[Target]:
-        usable = self.fleet.usable(ask.service)
+    def _usable(self, ask: Ask) -> Usable:
+        source = self.fleet.usable(ask.service)
         homes = ask.route.home_regions
-        if not homes:
-            return usable
-        return [
-            target
-            for target in usable
-            if self.regions.get(target.record.domain) in homes
-        ]
-
-    def _candidates(
-        self, ask: Ask, usable: list[Target], now: float
-    ) -> list[Placed]:
+        known = self.usable.get((ask.service, homes))
+        if known is not None and known.source is source:
+            return known
+        targets = source
+        if homes:
+            targets = [
+                target
+                for target in source
+                if self.regions.get(target.record.domain) in homes
+            ]
+        if len(self.usable) >= MAX_USABLE_KEPT:
+            self.usable.clear()
+        usable = Usable.of(source, targets)
+        self.usable[ask.service, homes] = usable
+        return usable
+
+    def _candidates(self, ask: Ask, usable: Usable, now: float) -> list[Placed]:
         """Returns up to two targets that may be used, the preferred first."""
-        by_id = {target.record.target_id: target for target in usable}
-        preferred = self._preferred(ask, tuple(by_id))
-        found = self._open(preferred, by_id, ask, now)
+        preferred = self._preferred(ask, usable.ids)
+        found = self._open(preferred, usable.by_id, ask, now)
         if found:
             return found
-        rest = [x for x in by_id if x not in preferred]
+        rest = [x for x in usable.ids if x not in preferred]
         self.rng.shuffle(rest)
-        others = self._open(rest, by_id, ask, now)
+        others = self._open(rest, usable.by_id, ask, now)
         spare = sorted(others, key=lambda placed: placed.load)[:1]
         return [placed._replace(choice="spare") for placed in spare]
 
