Forget the ranks of objects that no route uses any longer

Found on reading the change: a configuration that drops routes removed their objects but kept the places of each, about 1 KB an object, for ever. The test failed before.

--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -93,6 +93,8 @@
         kept = {key: used & routes for key, used in self.routes.items()}
         kept = {key: used for key, used in kept.items() if used}
         if kept != self.routes:
+            for key in self.routes.keys() - kept.keys():
+                self.ranking.forget(key)
             self.routes = kept
             self.is_stale = True
 
--- a/tests/gateway/policy/test_objects.py
+++ b/tests/gateway/policy/test_objects.py
@@ -141,6 +141,14 @@
     assert other.take_news() == []
 
 
+def test_an_object_that_no_route_uses_any_longer_is_forgotten_whole():
+    object_map = filled(KEYS, route="old")
+    object_map.add("1", "status")
+    firsts(object_map)
+    object_map.keep(frozenset({"status"}))
+    assert set(object_map.routes) == set(object_map.ranking.kept) == {"1"}
+
+
 def test_objects_are_not_evened_out_over_very_many_targets():
     object_map = filled([str(n) for n in range(500)])
     targets = tuple(f"i-{n:08x}" for n in range(1500))
