--- a/packages/testing/sardinewheel_testing/emulator/emulation.py
+++ b/packages/testing/sardinewheel_testing/emulator/emulation.py
@@ -1,7 +1,10 @@
 """One run: callers, hosts and targets in simulated time."""
 
 import random
+from collections import Counter
+from itertools import count
 
+from sardinewheel_testing.emulator.callers import CallModel
 from sardinewheel_testing.emulator.dispatch import Dispatch
 from sardinewheel_testing.emulator.figures import Call, Figures
 from sardinewheel_testing.emulator.hosts import (
@@ -14,11 +17,8 @@
 from sardinewheel_testing.emulator.targets import TargetModel
 from sardinewheel_testing.emulator.timeline import Timeline
 
-CALLER_S = 0.003
 UPKEEP_S = 0.25
 LOST_NOTICED_S = 1.0
-RETURNS = 1
-RETURN_SHARE = 1 / 3
 SLOWEST, FASTEST = 1.2, 0.85
 
 
@@ -40,8 +40,7 @@
         self.rng = random.Random(seed)
         self.timeline = Timeline()
         self.calls: list[Call] = []
-        self.unsafe: set[int] = set()
-        self.attempts = 0
+        self.numbers = count()
         fragile = int(scenario.targets * scenario.slow_share)
         self.targets = {
             f"t{n:03}": TargetModel(
@@ -81,8 +80,8 @@
         if self.scenario.lost.end_s:
             self.timeline.after(self.scenario.lost.begin_s, self._lose_hosts)
         self.timeline.run()
-        executed = [x for t in self.targets.values() for x in t.executed]
-        doubled = len(executed) - len(set(executed))
+        executed = sum((t.executed for t in self.targets.values()), Counter())
+        doubled = executed.total() - len(executed)
         calls = sorted(self.calls, key=lambda call: call.began)
         return Figures(self.dispatch.name, calls, doubled)
 
@@ -98,9 +97,16 @@
             number = self.rng.choices(
                 range(self.scenario.objects), self.weights
             )[0]
-            self.timeline.after(
-                now, CallModel(self, kind, region, f"o{number}").send
+            call = CallModel(
+                kind,
+                region,
+                f"o{number}",
+                timeline=self.timeline,
+                numbers=self.numbers,
+                enter=self.enter,
+                on_end=self.calls.append,
             )
+            self.timeline.after(now, call.send)
 
     def _upkeep(self) -> None:
         """Does what each host does between requests."""
@@ -149,67 +155,3 @@
         handed_on = attempt._replace(answer=passed_back)
         if not decider.is_lost:
             self.timeline.after(delay_s, lambda: decider.take(handed_on))
-
-
-class CallModel:
-    """A caller's request: its attempts, until an answer or its deadline.
-
-    Attributes:
-        began: When it was first sent, in simulated time.
-        refusals: How often it was told to come back.
-        has_ended: Whether it is over.
-    """
-
-    def __init__(
-        self, emulation: Emulation, kind: Kind, region: str, object_key: str
-    ):
-        self.emulation = emulation
-        self.timeline = emulation.timeline
-        self.kind = kind
-        self.region = region
-        self.object_key = object_key
-        self.began = 0.0
-        self.refusals = 0
-        self.has_ended = False
-
-    def send(self) -> None:
-        """Sends the request for the first time."""
-        self.began = self.timeline.now
-        self.timeline.after(self.kind.deadline_s, lambda: self._end(None))
-        self._attempt()
-
-    def _attempt(self) -> None:
-        self.emulation.attempts += 1
-        attempt = Attempt(
-            self.emulation.attempts,
-            self.kind,
-            self.object_key,
-            self.began + self.kind.deadline_s,
-            self._answered,
-        )
-        self.timeline.after(
-            CALLER_S, lambda: self.emulation.enter(attempt, self.region)
-        )
-
-    def _answered(self, ending: Ending) -> None:
-        self.timeline.after(CALLER_S, lambda: self._take(ending))
-
-    def _take(self, ending: Ending) -> None:
-        if ending.is_served:
-            self._end(self.timeline.now - self.began)
-            return
-        self.refusals += 1
-        left_s = self.began + self.kind.deadline_s - self.timeline.now
-        if self.refusals > RETURNS or ending.retry_after_s is None:
-            self._end(None)
-        else:
-            wait_s = min(ending.retry_after_s, left_s * RETURN_SHARE)
-            self.timeline.after(max(0.0, wait_s), self._attempt)
-
-    def _end(self, took_s: float | None) -> None:
-        if self.has_ended:
-            return
-        self.has_ended = True
-        self.emulation.calls.append(
-            Call(self.kind, self.region, self.began, took_s, self.refusals)
-        )
--- a/packages/testing/sardinewheel_testing/emulator/figures.py
+++ b/packages/testing/sardinewheel_testing/emulator/figures.py
@@ -46,7 +46,7 @@
     Attributes:
         dispatch: How requests were placed.
         calls: All calls, by their begin.
-        doubled: Requests that may not be repeated but were.
+        doubled: Executions beyond the first of each attempt.
     """
 
     dispatch: str
--- a/packages/testing/sardinewheel_testing/emulator/targets.py
+++ b/packages/testing/sardinewheel_testing/emulator/targets.py
@@ -1,6 +1,6 @@
 """A model of a target: slots, a short queue, and the objects it knows."""
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -62,7 +62,7 @@
         self.running = 0
         self.waiting: deque[Work] = deque()
         self.known: OrderedDict[str, None] = OrderedDict()
-        self.executed: dict[int, int] = {}
+        self.executed: Counter[int] = Counter()
 
     def arrive(self, work: Work) -> None:
         """Takes a request: executes, queues or refuses it."""
@@ -75,8 +75,7 @@
 
     def _start(self, work: Work) -> None:
         self.running += 1
-        count = self.executed.get(work.request_id, 0)
-        self.executed[work.request_id] = count + 1
+        self.executed[work.request_id] += 1
         took_s = work.work_s * self.speed
         if work.object_key in self.known:
             took_s *= KNOWN_OBJECT_SHARE
