--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,12 @@
 HOUSES ?= vallejo patelvara
 EXPERIMENTS ?=
 SEED ?= 7
+SEEDS ?= 1
 SCALE ?= 0.15
 PACKAGES := core entry gateway cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: setup test lint format demo bench bench-path model settings-page clean slopes
+.PHONY: soak emulate setup test lint format demo bench bench-path model settings-page clean slopes
 
 setup: $(VENV)/.installed
 
@@ -47,6 +48,12 @@
 model: setup
 	set -e; for spec in $(SPECS); do $(BIN)/python $$spec; done
 
+soak: setup
+	$(BIN)/python -m tests.platform.soak --seed $(SEED) --seeds $(SEEDS)
+
+emulate: setup
+	$(BIN)/python -m sardinewheel_testing.emulator --seed $(SEED) --seeds $(SEEDS) --folder build/emulator
+
 clean:
 	rm -rf $(VENV)
 
--- /dev/null
+++ b/tests/cli/test_explain_main.py
@@ -0,0 +1,47 @@
+"""The command that explains a request by its id."""
+
+import subprocess
+import sys
+
+LINES = """\
+collector: time=100.250 level=info host=a event=attempt-ended request=id-1 \
+outcome=lost detail="reset by peer" target=t1 took_s=0.200
+time=100.251 level=info host=a event=request-failed request=id-1 status=502 \
+reason="reset by peer"
+not a line of ours
+time=101.000 level=info host=b event=target-gone target=t1 source=store
+time=101.000 level=info host=b event=target-gone target=t2 source=store
+"""
+COMMAND = "from sardinewheel_cli.explain_main import main; main()"
+
+
+def explain(request_id, *files, given=None):
+    return subprocess.run(
+        [sys.executable, "-c", COMMAND, request_id, *map(str, files)],
+        input=given,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_it_prints_the_lines_by_time_and_the_cause(tmp_path):
+    path = tmp_path / "hosts.log"
+    path.write_text(LINES)
+    done = explain("id-1", path)
+    shown = done.stdout.splitlines()
+    assert [line[0] for line in shown[:3]] == ["*", "*", " "]
+    assert "t2" not in done.stdout
+    assert shown[-1].startswith("Unknown: t1 had it and broke off (reset")
+    assert shown[-1].endswith("so it had died.")
+    assert done.returncode == 0
+
+
+def test_it_reads_standard_input_without_files():
+    assert "Unknown: t1" in explain("id-1", given=LINES).stdout
+
+
+def test_an_id_that_no_line_names_is_told_with_another_status(tmp_path):
+    done = explain("id-2", given=LINES)
+    assert "No line names this request" in done.stdout
+    assert done.returncode == 4
