Do not let an evacuation hide a configuration that was missed

A configuration over 1,300 bytes is not pushed; hosts notice by heartbeats and ask for it. The small update of an evacuation that follows within that time carries no configuration, and moved the host's position past the one it had not got, so it was never behind again. Targets' updates say where they begin; operators' updates did not. Ruled out: lost datagrams (the neighbours heard the same ones), the store's lost history (the followers read the table whole), a refused configuration (no such line).

An operators' update without a configuration now names the version that it goes with. A host with an older one doesn't take it, and asks. Both new tests failed before.

--- a/packages/gateway/sardinewheel_gateway/news.py
+++ b/packages/gateway/sardinewheel_gateway/news.py
@@ -104,6 +104,9 @@
         if update.targets and self.history.misses(update.targets):
             self.relay.hint.set()
             update = update._replace(targets=None)
+        if update.operators and self._misses(update.operators):
+            self.relay.hint.set()
+            update = update._replace(operators=None)
         if self._is_news(update):
             self._apply(update, name)
 
@@ -202,8 +205,16 @@
                 source=source,
             )
 
+    def _misses(self, update: OperatorsUpdate) -> bool:
+        """Says whether this host has missed a configuration before it."""
+        has_none = update.configuration is None
+        return has_none and update.version > self.beliefs.version
+
     def _as_passed_on(self, update: Update) -> Update:
         """Returns an update as it joins what other hosts have heard."""
+        if update.operators is not None:
+            operators = update.operators._replace(version=self.beliefs.version)
+            update = update._replace(operators=operators)
         targets = update.targets
         if targets is None:
             return update
--- a/packages/gateway/sardinewheel_gateway/policy/updates.py
+++ b/packages/gateway/sardinewheel_gateway/policy/updates.py
@@ -38,11 +38,14 @@
         after: Position that it leads to.
         configuration: The configuration, unless it is unchanged.
         evacuated: All failure domains whose targets get nothing.
+        version: Version of the configuration in force there, where it is
+            unchanged; a host that has an older one has missed it.
     """
 
     after: int
     configuration: Configuration | None
     evacuated: frozenset[str]
+    version: int = 0
 
 
 class RecordChange(NamedTuple):
@@ -127,6 +130,7 @@
         update.after,
         None if configuration is None else _plain_config(configuration),
         sorted(update.evacuated),
+        update.version,
     ]
 
 
@@ -158,9 +162,9 @@
 def _operators(plain: list[Any] | None) -> OperatorsUpdate | None:
     if plain is None:
         return None
-    after, configuration, evacuated = plain
+    after, configuration, evacuated, version = plain
     typed = None if configuration is None else _configuration(configuration)
-    return OperatorsUpdate(after, typed, frozenset(evacuated))
+    return OperatorsUpdate(after, typed, frozenset(evacuated), version)
 
 
 def _configuration(plain: list[Any]) -> Configuration:
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -9,14 +9,18 @@
 from sardinewheel_gateway.news import News
 from sardinewheel_gateway.policy.beliefs import Beliefs
 from sardinewheel_gateway.policy.hosts import HostBook, StoreAccess
+from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.updates import (
     NOTHING_KNOWN,
+    OperatorsUpdate,
     RecordChange,
     TargetsUpdate,
     Update,
+    from_plain,
+    to_plain,
 )
 
-from tests.gateway.house import BOUNDS
+from tests.gateway.house import BOUNDS, LIMITS
 from tests.gateway.policy.test_hosts import state
 from tests.gateway.policy.test_targets import record
 
@@ -98,6 +102,27 @@
     assert news.relay.hint.is_set()
 
 
+def test_an_evacuation_does_not_hide_a_configuration_that_was_missed(news):
+    heard = OperatorsUpdate(7, None, frozenset({"north-a"}), version=12)
+    news.heard_from_host(Update(operators=heard), "b")
+    assert news.positions.operators < 7
+    assert news.relay.hint.is_set()
+
+
+def test_a_follower_tells_which_configuration_its_news_go_with(news):
+    configuration = Configuration(12, (), {}, LIMITS)
+    whole = OperatorsUpdate(6, configuration, frozenset())
+    news.heard_from_store(Update(operators=whole))
+    told = []
+    news.relay.push = told.append
+    evacuated = OperatorsUpdate(7, None, frozenset({"north-a"}))
+    news.heard_from_store(Update(operators=evacuated))
+    assert told[0].operators.version == 12
+    assert from_plain(to_plain(told[0])) == told[0]
+    news.heard_from_host(Update(operators=told[0].operators), "b")
+    assert news.positions.operators == 7
+
+
 def test_a_host_that_the_store_no_longer_tells_counts_as_away(news):
     news.gossip.change(store=StoreAccess.FOLLOWING)
     news.store_lags()
