Measure how far the store lags by the changes that were awaited

Cause: a follower of the store counted as silent when any other host had been ahead of it for 1.2 s without a break. While the store sends many changes, one of the followers is always ahead for a moment, so hosts whose polls were answered all the time announced AWAY, and the next in the order began to follow.

Change: the wait begins anew once the changes that were awaited have arrived.

--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -42,8 +42,9 @@
         gossip: Sends datagrams to the other hosts.
         on_lag: Called when another host has been ahead of this store
             follower for ``MAX_STORE_LAG_S``.
-        ahead_since: Time since which another host has been ahead although
-            this host follows the store; None if none is.
+        ahead_since: Time since which this host, although it follows the
+            store, waits for changes that another host has; None if it does not.
+        awaited: Positions of those changes.
         started_at: Time at which this host started, on the monotonic clock.
         wakeup: Set to run a check before ``CATCH_UP_INTERVAL_S`` is over.
     """
@@ -62,6 +63,7 @@
         self.apply_update = apply_update
         self.on_lag = on_lag
         self.ahead_since: float | None = None
+        self.awaited = Positions()
         self.started_at = clock.steady()
         self.log = log
         self.rng = rng
@@ -85,7 +87,7 @@
         if len(data) <= MAX_PUSH_BYTES:
             self.gossip.send_update(data)
         else:
-            self.gossip.send_heartbeat(includes_other_regions=False)
+            self.gossip.announce_to_region()
 
     def catch_up(self) -> None:
         """Requests and applies one update if another host is ahead."""
@@ -93,7 +95,7 @@
         if not ahead:
             self.ahead_since = None
             return
-        if self._waits_for_store():
+        if self._waits_for_store(ahead):
             return
         peer = self.rng.choice(ahead)
         try:
@@ -108,13 +110,21 @@
             return
         self.apply_update(update, peer.name)
 
-    def _waits_for_store(self) -> bool:
-        """Returns whether to wait for the store to send the update itself."""
-        if self.host_table.own.store is not StoreAccess.FOLLOWING:
+    def _waits_for_store(self, ahead: list[HostState]) -> bool:
+        """Returns whether to wait for the store to send the update itself.
+
+        While the store sends many changes, another follower is often ahead for
+        a moment, so the wait begins anew once the awaited changes have arrived.
+        """
+        own = self.host_table.own
+        if own.store is not StoreAccess.FOLLOWING:
             return False
         now = clock.steady()
-        if self.ahead_since is None:
+        if self.ahead_since is None or not is_ahead(
+            self.awaited, own.positions
+        ):
             self.ahead_since = now
+            self.awaited = newest_positions(ahead)
         if now - self.ahead_since < MAX_STORE_LAG_S:
             return True
         self.on_lag()
@@ -170,6 +180,13 @@
     return theirs.operators > own.operators or theirs.targets > own.targets
 
 
+def newest_positions(hosts: list[HostState]) -> Positions:
+    """Returns the newest of the hosts' positions, each by itself."""
+    return Positions(
+        *map(max, *(host.positions for host in hosts), Positions())
+    )
+
+
 def requested_positions(path: bytes) -> Positions | None:
     """Returns the positions in the path of an update request.
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -95,6 +95,21 @@
     assert applied == ["lag", (UPDATE, "b")]
 
 
+def test_store_follower_that_receives_changes_is_not_behind(peer, relay_to):
+    relay, applied = relay_to(
+        peer.listener.server_port, store=StoreAccess.FOLLOWING
+    )
+    table = relay.host_table
+    for step in range(10):
+        ahead = Positions(7, 9 + step)
+        peer_state = table.peers["b"].state
+        table.peers["b"].state = peer_state._replace(positions=ahead)
+        relay.catch_up()
+        table.own = table.own._replace(positions=ahead)
+        relay.ahead_since -= 0.5
+    assert applied == []
+
+
 def test_host_that_is_not_ahead_is_not_queried(peer, relay_to):
     relay, applied = relay_to(peer.listener.server_port, own=AHEAD)
     relay.catch_up()
