--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -288,20 +288,3 @@
         return state.sequence <= known.sequence
     is_silent = sent_at - known.last_heartbeat_at > RESTART_SILENCE_S
     return state.incarnation < known.state.incarnation and not is_silent
-
-
-def entry_hosts(
-    hosts: list[HostState], *, region: str, limit: int
-) -> list[str]:
-    """Returns the addresses to which callers of a region send requests.
-
-    Args:
-        hosts: Live hosts.
-        region: Region of the caller; without ready hosts in it, those of all
-            regions are returned.
-        limit: Maximum number of addresses.
-    """
-    ready = [host for host in hosts if host.is_ready]
-    local = [host for host in ready if host.region == region]
-    chosen = sorted(local or ready, key=lambda host: host.name)
-    return [host.front for host in chosen[:limit]]
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -19,11 +19,8 @@
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.metrics import Metrics
 from sardinewheel_gateway.platform_adapter import PlatformAdapter
-from sardinewheel_gateway.policy.hosts import (
-    HostState,
-    HostTable,
-    entry_hosts,
-)
+from sardinewheel_gateway.policy.entry_hosts import entry_hosts
+from sardinewheel_gateway.policy.hosts import HostState, HostTable
 from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
 from sardinewheel_gateway.policy.updates import Positions, to_plain
 from sardinewheel_gateway.relay import requested_positions
