--- a/packages/cli/sardinewheel_cli/drain_progress.py
+++ b/packages/cli/sardinewheel_cli/drain_progress.py
@@ -111,23 +111,30 @@
         NotReachedError: The drain is not done ``WAIT_MARGIN_S`` seconds
             after the time that the drain allows.
     """
-    key = (drain.subject, drain.name)
     deadline = time.monotonic() + drain.within_s + WAIT_MARGIN_S
     done_polls = 0
     last_line = ""
-    while done_polls < REQUIRED_DONE_POLLS:
-        view = session.view()
-        answers, _ = session.fetch_each(view, "/v1/drains", DrainsView)
-        entries = {e[:2]: e for e in combine(view, answers)}
-        entry = entries.get(key)
+    while True:
+        entry = _poll(session, drain)
         done_polls = done_polls + 1 if entry is None or entry.is_done else 0
         if entry is not None and last_line != _describe_progress(entry):
             last_line = _describe_progress(entry)
             print(last_line, file=sys.stderr)
-        if time.monotonic() > deadline:
+        if done_polls >= REQUIRED_DONE_POLLS:
+            return drains(session)
+        left_s = deadline - time.monotonic()
+        if left_s <= 0:
             raise NotReachedError(f"drain timed out: {last_line}")
-        time.sleep(WAIT_INTERVAL_S)
-    return drains(session)
+        # The last poll is made at the deadline.
+        time.sleep(min(WAIT_INTERVAL_S, left_s))
+
+
+def _poll(session: "Session", drain: Drain) -> PlaceProgress | None:
+    """Returns the progress of one drain, or ``None`` if it is not known."""
+    view = session.view()
+    answers, _ = session.fetch_each(view, "/v1/drains", DrainsView)
+    entries = {e[:2]: e for e in combine(view, answers)}
+    return entries.get((drain.subject, drain.name))
 
 
 def _combine_parts(
--- a/packages/cli/sardinewheel_cli/explain_main.py
+++ b/packages/cli/sardinewheel_cli/explain_main.py
@@ -29,7 +29,8 @@
     def __call__(self) -> None:
         """Prints the related lines, ordered by time, and the cause."""
         trace = RequestTrace.from_lines(self.request, self._lines())
-        for line in sorted((*trace.request, *trace.context)):
+        lines = (*trace.request, *trace.context)
+        for line in sorted(lines, key=lambda line: line.time):
             print(_format_line(line, is_own=line in trace.request))
         print(trace.cause())
         if not trace.request:
--- a/packages/core/sardinewheel_core/claims.py
+++ b/packages/core/sardinewheel_core/claims.py
@@ -170,7 +170,7 @@
     elif key not in rows:
         host.claims.waiting.append(exchange)
     elif rows[key] is None:
-        _finish_unknown(host, now, exchange, Reason.PLATFORM_AWAY)
+        _finish_unknown(host, now, exchange, Reason.CLAIM_UNREADABLE)
     elif rows[key].change_id == change_id:
         _execute(host, now, exchange)
     elif rows[key].owner == host.owner:
--- a/packages/core/sardinewheel_core/exchange.py
+++ b/packages/core/sardinewheel_core/exchange.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from sardinewheel_core.occupancy import Occupancy
 
+# Number of times that entry hosts forward a request.
+MAX_HOPS = 2
+
 
 class Stage(StrEnum):
     """Processing stage of an exchange."""
--- a/packages/core/sardinewheel_core/filters/at_most_once.py
+++ b/packages/core/sardinewheel_core/filters/at_most_once.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.exchange import MAX_HOPS, Exchange
 from sardinewheel_core.filters.refusals import unknown
 from sardinewheel_core.filters.verdict import (
     Claim,
@@ -21,8 +21,6 @@
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
-MAX_HOPS = 2
-
 
 def apply(host: "EntryHost", now: float, exchange: Exchange) -> Verdict:
     """Delegates an id to its owner; answers or joins an id already used."""
--- a/packages/core/sardinewheel_core/filters/placement.py
+++ b/packages/core/sardinewheel_core/filters/placement.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from sardinewheel_core import shift
-from sardinewheel_core.exchange import Exchange
+from sardinewheel_core.exchange import MAX_HOPS, Exchange
 from sardinewheel_core.filters.verdict import Continue, Delegate, Verdict
 from sardinewheel_core.messages import HostState
 from sardinewheel_core.ownership import slots_by_host
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from sardinewheel_core.host import EntryHost
 
-MAX_HOPS = 2
 MAX_OVERFLOW_ATTEMPTS = 2
 
 
--- a/packages/core/sardinewheel_core/request.py
+++ b/packages/core/sardinewheel_core/request.py
@@ -60,6 +60,7 @@
     ``NO_ROOM``: no capacity is free and the request may not be queued for it.
     ``OUTRANKED``: a more urgent request replaced it in a full queue.
     ``PLATFORM_AWAY``: the platform did not confirm in time who owns the id.
+    ``CLAIM_UNREADABLE``: the row that says who owns the id is malformed.
     ``BOOK_FULL``: the outcome store has reached its maximum size.
     ``PAUSED``: the host was no longer allowed to send the first byte, for
     example after a pause of its process.
@@ -82,6 +83,7 @@
     OWNER_GONE = "owner-gone"
     OWNER_UNREACHABLE = "owner-unreachable"
     PLATFORM_AWAY = "platform-away"
+    CLAIM_UNREADABLE = "claim-unreadable"
     BOOK_FULL = "book-full"
     CONNECTION_LOST = "connection-lost"
     IN_PROGRESS = "in-progress"
--- a/packages/core/sardinewheel_core/seats.py
+++ b/packages/core/sardinewheel_core/seats.py
@@ -184,6 +184,8 @@
     # After a lost answer or a conflict, reading the row shows the outcome.
     state.next_read_at = now
     if event.committed:
+        if not state.is_claimed:
+            state.row_version += 1
         _on_claimed(host, now)
         state.next_read_at = now + CHECK_INTERVAL_S
 
@@ -257,7 +259,6 @@
     state = host.seat
     if not state.is_claimed:
         state.is_claimed = True
-        state.row_version += 1
         if state.was_vacant:
             state.exclusive_from = now
     # A newer holder may have started while the platform was unreachable, so the
--- a/packages/entry/sardinewheel_entry/api/request_headers.py
+++ b/packages/entry/sardinewheel_entry/api/request_headers.py
@@ -17,8 +17,9 @@
 MAX_DEADLINE_MS = 600_000
 MAX_WEIGHT = 1_000_000
 MAX_NAME_CHARS = 100
+MAX_NUMBER_CHARS = 100
 MAX_PATH_CHARS = 2000
-MAX_HOPS = 16
+MAX_REPORTED_HOPS = 16
 REQUEST_ID = re.compile(r"[^\x00-\x20/?#%\x7f-\U0010ffff]+")
 PATH = re.compile(r"/[!-~]*")
 BOOLEANS = {"true": True, "false": False}
@@ -56,8 +57,9 @@
         text = self.text(name)
         if not text:
             return default
+        is_short = len(text) <= MAX_NUMBER_CHARS
         is_number = text.isascii() and text.removeprefix("-").isdigit()
-        if is_number and low <= int(text[:MAX_NAME_CHARS]) <= high:
+        if is_short and is_number and low <= int(text) <= high:
             return int(text)
         self.add_finding(name, text, f"an integer from {low} to {high}")
         return default
@@ -113,7 +115,7 @@
         ),
         deadline=time.monotonic() + deadline_ms / 1000,
         block=reader.text(headers.BLOCK),
-        hops=reader.integer(headers.HOPS, 0, 0, MAX_HOPS),
+        hops=reader.integer(headers.HOPS, 0, 0, MAX_REPORTED_HOPS),
         delegated=reader.boolean(headers.DELEGATED, False),
         attempt=reader.text(headers.ATTEMPT),
         is_first_attempt=reader.boolean(headers.FIRST_ATTEMPT, not has_id),
--- a/packages/entry/sardinewheel_entry/peers.py
+++ b/packages/entry/sardinewheel_entry/peers.py
@@ -128,11 +128,13 @@
         queue: Frames to send; ``None`` ends the link.
         is_full: Whether a frame has been dropped since the last one was
             queued; limits the warnings to one per overflow.
+        lost_frames: Frames removed from the queue without being sent.
     """
 
     def __init__(self):
         self.queue: Queue = Queue(MAX_QUEUED_FRAMES)
         self.is_full = False
+        self.lost_frames = 0
 
     def put(self, frame: bytes) -> bool:
         """Queues a frame; returns whether the queue had space for it."""
@@ -144,11 +146,21 @@
         return True
 
     def close(self) -> None:
-        """Ends the link once the queue is sent; if it is full, discards it."""
-        try:
-            self.queue.put_nowait(None)
-        except Full:
-            self.queue = Queue(MAX_QUEUED_FRAMES)
+        """Ends the link once the queue is sent."""
+        if self.queue.full():
+            self._remove_frame()
+        self.queue.put_nowait(None)
+
+    def discard(self) -> int:
+        """Empties the queue; returns how many frames were never sent."""
+        while not self.queue.empty():
+            self._remove_frame()
+        lost, self.lost_frames = self.lost_frames, 0
+        return lost
+
+    def _remove_frame(self) -> None:
+        if self.queue.get_nowait() is not None:
+            self.lost_frames += 1
 
 
 class PeerLinks:
@@ -221,7 +233,8 @@
                 ping_timeout=PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
             )
-        except (OSError, WebSocketException):
+        except (OSError, WebSocketException) as error:
+            log.debug("peer-not-reached", address=address, error=str(error))
             self._remove_link(address, link)
             return
         reader = gevent.spawn(self._read, connection, link)
@@ -246,6 +259,7 @@
             connection.close()
             writer.join(CLOSE_TIMEOUT_S)
             writer.kill()
+            self.counters.dropped_messages += link.discard()
 
     def _read(
         self, connection: Connection, link: Link, *, is_accepted: bool = False
@@ -286,5 +300,7 @@
             pass
 
     def _remove_link(self, address: str, link: Link) -> None:
+        """Removes an ended link; counts the frames that it has not sent."""
         if self.links.get(address) is link:
             del self.links[address]
+        self.counters.dropped_messages += link.discard()
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -94,15 +94,28 @@
         reason: str,
         *,
         retry_after_s: float | None = None,
+        metric_reason: str | None = None,
         **fields,
     ) -> None:
-        """Sends a response that this host creates."""
+        """Sends a response that this host creates.
+
+        Args:
+            exchange: The caller's request.
+            caller: Metadata that the caller sent.
+            status: HTTP status.
+            reason: Why this host responds; logged.
+            retry_after_s: Seconds after which the caller may retry.
+            metric_reason: Label of the metric if ``reason`` is the text of an
+                error, which takes too many values.
+            **fields: Further fields of the log line.
+        """
         headers = self.adapter.local_response_headers(exchange.head.headers)
         if retry_after_s is not None:
             value = f"{retry_after_s:.2f}".encode()
             headers = [*headers, (b"retry-after", value)]
         took_s = clock.steady() - exchange.head.received_at
-        self.metrics.observe_request(Series("own", reason, str(status)), took_s)
+        series = Series("own", metric_reason or reason, str(status))
+        self.metrics.observe_request(series, took_s)
         self.log.info(
             "request-refused" if status == UNAVAILABLE else "request-failed",
             request=caller.request_id,
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -214,7 +214,8 @@
                 self._send_response(result)
             case NotSent(reason):
                 self._respond_unavailable(
-                    Refused(reason, DEFAULT_RETRY_AFTER_S)
+                    Refused(reason, DEFAULT_RETRY_AFTER_S),
+                    metric_reason="not-sent",
                 )
             case Lost(reason):
                 self._respond_lost(reason)
@@ -233,10 +234,13 @@
             case _:
                 self._respond_unavailable(refused)
 
-    def _respond_unavailable(self, refused: Refused) -> None:
+    def _respond_unavailable(
+        self, refused: Refused, *, metric_reason: str | None = None
+    ) -> None:
         self._respond(
             UNAVAILABLE,
             refused.reason,
+            metric_reason=metric_reason,
             retry_after_s=refused.retry_after_s,
             load=refused.load,
         )
@@ -245,7 +249,7 @@
         if self.exchange.body_is_too_large:
             self._respond_error(TOO_LARGE, "body-too-large")
         else:
-            self._respond_error(BAD_GATEWAY, reason)
+            self._respond(BAD_GATEWAY, reason, metric_reason="response-lost")
 
     def _respond_error(self, status: int, reason: str) -> None:
         self._respond(status, reason)
--- a/packages/testing/sardinewheel_testing/emulator/emulation.py
+++ b/packages/testing/sardinewheel_testing/emulator/emulation.py
@@ -55,20 +55,12 @@
             )
             for n in range(scenario.targets)
         }
+        self.seed = seed
+        names = tuple(f"h{n:03}" for n in range(scenario.hosts))
         self.hosts = {
-            f"h{n:03}": HostModel(
-                f"h{n:03}",
-                REGIONS[n % len(REGIONS)],
-                scenario=scenario,
-                targets=self.targets,
-                scheduler=self.scheduler,
-                seed=seed,
-            )
-            for n in range(scenario.hosts)
+            name: self._create_host(name, REGIONS[n % len(REGIONS)], names)
+            for n, name in enumerate(names)
         }
-        for host in self.hosts.values():
-            host.routing_state.set_hosts(tuple(self.hosts))
-            dispatch.configure_placer(host.routing_state.placer)
         self.weights = [
             (n + 1) ** -scenario.skew for n in range(scenario.objects)
         ]
@@ -83,10 +75,10 @@
             self.scheduler.call_later(
                 step * MAINTENANCE_INTERVAL_S, self._run_maintenance
             )
-        if self.scenario.host_failure.end_s:
-            self.scheduler.call_later(
-                self.scenario.host_failure.begin_s, self._fail_hosts
-            )
+        failure = self.scenario.host_failure
+        if failure.end_s:
+            self.scheduler.call_later(failure.begin_s, self._fail_hosts)
+            self.scheduler.call_later(failure.end_s, self._restart_hosts)
         self.scheduler.run()
         executions = sum(
             (t.executions for t in self.targets.values()), Counter()
@@ -95,6 +87,21 @@
         calls = sorted(self.calls, key=lambda call: call.started_at)
         return RunResult(self.dispatch.name, calls, duplicate_executions)
 
+    def _create_host(
+        self, name: str, region: str, names: tuple[str, ...]
+    ) -> HostModel:
+        host = HostModel(
+            name,
+            region,
+            scenario=self.scenario,
+            targets=self.targets,
+            scheduler=self.scheduler,
+            seed=self.seed,
+        )
+        host.routing_state.set_hosts(names)
+        self.dispatch.configure_placer(host.routing_state.placer)
+        return host
+
     def _schedule_calls(self, kind: Kind) -> None:
         """Schedules the calls of a kind as a Poisson process."""
         now = 0.0
@@ -132,6 +139,13 @@
         for name in list(self.hosts)[: len(REGIONS)]:
             self.hosts[name].has_failed = True
 
+    def _restart_hosts(self) -> None:
+        """Replaces the failed hosts by new ones that have no state."""
+        names = tuple(self.hosts)
+        for name, host in list(self.hosts.items()):
+            if host.has_failed:
+                self.hosts[name] = self._create_host(name, host.region, names)
+
     def advertised_hosts(self, region: str) -> list[HostModel]:
         """Returns the hosts that callers in a region may use.
 
--- a/packages/testing/sardinewheel_testing/emulator/scenario.py
+++ b/packages/testing/sardinewheel_testing/emulator/scenario.py
@@ -83,7 +83,8 @@
         slow_share: Share of the targets that become slow.
         slow_factor: Factor on the service time of slow targets.
         host_failure: The first host of each region fails at the start of this
-            interval, with all requests that it holds, and stays down.
+            interval, with all requests that it holds, and starts again without
+            state at the end.
     """
 
     name: str
--- a/packages/testing/sardinewheel_testing/execution.py
+++ b/packages/testing/sardinewheel_testing/execution.py
@@ -144,7 +144,7 @@
         self.running = 0
         self.executions: Counter[str] = Counter()
         self.outcomes: Counter[str] = Counter()
-        self.cancel_events: dict[str, Event] = {}
+        self.cancel_events: dict[str, set[Event]] = {}
         self.latest_at = 0.0
         self.empty_at = 0.0
         self.frozen_load = 0
@@ -161,12 +161,11 @@
         return outcome
 
     def cancel(self, request_id: str) -> bool:
-        """Cancels a running execution; returns whether there was one."""
-        event = self.cancel_events.get(request_id)
-        if event is None:
-            return False
-        event.set()
-        return True
+        """Cancels the executions of an id; returns whether there were any."""
+        events = self.cancel_events.get(request_id, ())
+        for event in tuple(events):
+            event.set()
+        return bool(events)
 
     def reported_load(self) -> int | None:
         """Returns the load to report, or ``None`` if reports are stopped."""
@@ -243,14 +242,18 @@
         duration_s = self._service_time_s(request.kind)
         remaining_s = _remaining_s(request)
         exceeds_deadline = remaining_s is not None and remaining_s < duration_s
-        cancelled = self.cancel_events[request.request_id] = Event()
+        cancelled = Event()
+        events = self.cancel_events.setdefault(request.request_id, set())
+        events.add(cancelled)
         try:
             if cancelled.wait(
                 max(0.0, remaining_s) if exceeds_deadline else duration_s
             ):
                 return ExecutionOutcome.CANCELLED
         finally:
-            self.cancel_events.pop(request.request_id, None)
+            events.discard(cancelled)
+            if not events:
+                self.cancel_events.pop(request.request_id, None)
         return (
             ExecutionOutcome.DEADLINE
             if exceeds_deadline
--- a/tests/cli/test_explain_main.py
+++ b/tests/cli/test_explain_main.py
@@ -47,3 +47,14 @@
     done = explain("id-2", given=LINES)
     assert "No line names this request" in done.stdout
     assert done.returncode == 4
+
+
+def test_lines_of_the_same_time_host_and_event_are_all_printed():
+    same = (
+        "time=100.1 level=info host=a event=attempt-ended request=id-1 "
+        "outcome=lost target={}\n"
+    )
+    done = explain("id-1", given=same.format("t1") + same.format("t2"))
+    assert done.returncode == 0, done.stderr
+    assert "t1" in done.stdout
+    assert "t2" in done.stdout
--- a/tests/core/test_at_most_once.py
+++ b/tests/core/test_at_most_once.py
@@ -274,3 +274,13 @@
     cluster.feed("quito-1", event)
     PlatformTable().run_transaction(cluster)
     assert cluster.answers[99] == cluster.answers[exchange.arrival_id]
+
+
+def test_an_id_with_a_malformed_claim_is_not_blamed_on_the_platform(cluster):
+    table = PlatformTable()
+    table.rows["claim/order-9"] = "{"
+    arrival = cluster.submit("quito-1", "order-9")
+    table.run_transaction(cluster)
+    assert cluster.outcome(arrival) is Outcome.UNKNOWN
+    assert cluster.answers[arrival].reason is Reason.CLAIM_UNREADABLE
+    assert cluster.executions == {}
--- a/tests/core/test_seats.py
+++ b/tests/core/test_seats.py
@@ -135,3 +135,16 @@
     cluster.run(60.0)
     assert cluster.hosts["b-1"].allowance.in_flight >= CAP // 3 // 2
     assert cluster.max_in_flight <= CAP
+
+
+@pytest.mark.parametrize("lost_responses", [0, 1])
+def test_the_known_version_of_the_row_is_that_of_the_platform(lost_responses):
+    cluster = LoadedCluster()
+    cluster.kill("a-1")
+    cluster.platform.lost_responses = lost_responses
+    cluster.start_host("a-1")
+    # Less than the interval of regular checks of the row.
+    cluster.run(2.5)
+    state = cluster.hosts["a-1"].seat
+    assert state.is_claimed
+    assert state.row_version == cluster.platform.rows["seat/a-1"][0]
--- a/tests/entry/test_bad_requests.py
+++ b/tests/entry/test_bad_requests.py
@@ -78,3 +78,15 @@
     json_type = {"Content-Type": "application/json"}
     response = client.simulate_post("/v1/lookups", body=body, headers=json_type)
     assert response.status_code == 400
+
+
+def test_number_whose_first_digits_are_in_range_is_rejected():
+    driver = FakeDriver()
+    client = falcon.testing.TestClient(create_app(driver))
+    weight = "0" * 99 + "1" + "9" * 20
+    response = client.simulate_post(
+        "/v1/services/pedidos/requests",
+        headers={"Sardinewheel-Weight": weight},
+    )
+    assert response.status_code == 400
+    assert not driver.arrived
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -181,3 +181,28 @@
 """
     result = run_script(script, tmp_path)
     assert result.returncode == 0, result.stderr
+
+
+def test_frames_for_an_unreachable_peer_are_counted_as_dropped(tmp_path):
+    script = """
+unreachable = free_address()
+for number in range(3):
+    a.send(unreachable, ChangesWanted(number))
+wait_until(lambda: not a.links)
+assert a.counters.dropped_messages == 3, a.counters
+"""
+    result = run_script(script, tmp_path)
+    assert result.returncode == 0, result.stderr
+
+
+def test_frames_of_a_link_that_ends_are_counted_as_dropped(tmp_path):
+    script = """
+link = peers.Link()
+for _ in range(peers.MAX_QUEUED_FRAMES):
+    assert link.put(b"frame")
+link.close()
+assert link.discard() == peers.MAX_QUEUED_FRAMES
+assert link.discard() == 0
+"""
+    result = run_script(script, tmp_path)
+    assert result.returncode == 0, result.stderr
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -64,6 +64,19 @@
     assert harness.request_count() == 1
 
 
+@pytest.mark.parametrize("script", [truncates_response, sends_invalid_response])
+def test_metric_label_of_a_lost_response_is_not_the_error_text(
+    start_gateway, script
+):
+    harness = start_gateway(*first_request_runs(script), is_idempotent=False)
+    harness.send_request(method="POST")
+    assert {
+        series.route
+        for series in harness.forwarder.metrics.latencies
+        if series.outcome == "502"
+    } == {"response-lost"}
+
+
 def test_target_error_is_passed_through_unchanged(start_gateway):
     harness = start_gateway(
         *first_request_runs(responds_500), is_idempotent=False
--- a/tests/testing/emulator/test_emulation.py
+++ b/tests/testing/emulator/test_emulation.py
@@ -122,3 +122,12 @@
     counts = [len(t.executions) for t in emulation.targets.values()]
     assert max(counts) < 2.0 * sum(counts) / len(counts)
     assert {t.region for t in emulation.targets.values()} == set(REGIONS)
+
+
+def test_failed_hosts_return_at_the_end_of_the_failure():
+    scenario = SCENARIOS["hosts-lost"]
+    dispatch = DISPATCH_STRATEGIES["direct"]
+    emulation = Emulation(scenario, dispatch, seed=SEED)
+    emulation.run()
+    assert scenario.duration_s > scenario.host_failure.end_s
+    assert not any(host.has_failed for host in emulation.hosts.values())
--- a/tests/testing/test_target.py
+++ b/tests/testing/test_target.py
@@ -1,9 +1,16 @@
 """Tests of the target stand-in: execution, counters and signals."""
 
 import json
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 
 import pytest
+from sardinewheel_testing.execution import (
+    Behaviour,
+    ExecutionOutcome,
+    Target,
+    TargetRequest,
+    WeightMeter,
+)
 from sardinewheel_testing.processes import (
     free_address,
     http,
@@ -86,3 +93,16 @@
     assert (response.status, response.body) == (200, b"done x")
     assert not any(name.startswith("sardinewheel") for name in response.headers)
     assert http("GET", target, "/health").status == 404
+
+
+def test_cancellation_ends_all_executions_of_an_id():
+    behaviour = Behaviour(slots=2, service_time_s={"": 3.0})
+    target = Target("t", behaviour, seed=1, region=WeightMeter())
+    request = TargetRequest("a", "", 1, None)
+    with ThreadPoolExecutor() as pool:
+        running = [pool.submit(target.execute, request) for _ in range(2)]
+        wait_until(lambda: target.running == 2)
+        wait(running, timeout=0.2)
+        assert target.cancel("a")
+        outcomes = [execution.result() for execution in running]
+    assert outcomes == [ExecutionOutcome.CANCELLED] * 2
