Date the end of a store outage by the hosts that already read the store

Cause: a target whose record is removed after an outage of the store is kept for 2.2 s, as its record may only have expired meanwhile. That time began at the removal, and the end of the outage was the moment at which the host's own call succeeded again, or at which another host's update told of an outage: up to 4 s after the store had returned. So targets that left 4 s after the outage were taken for expired ones and got requests for another 2.5 s.

Ruled out: a removal that did not reach the hosts; all knew it within 0.35 s.

Change: the period ends 2.2 s after the end of the outage, and the outage ends at the latest 1.3 s after a live host began to follow the store. An earlier end that is reported late does not replace a later one.

--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -14,7 +14,7 @@
 from sardinewheel_gateway.policy.updates import Positions
 
 RESTART_SILENCE_S = 2.0
-ESTABLISHED_FOLLOWER_S = 3.5
+FOLLOWER_CONFIRMATION_S = 1.3
 # Hosts of the region hear of a follower from others, so later than it sends.
 FOLLOWER_SILENCE_S = 2.0
 SAME_REGION_SILENCE_S = 3.5
@@ -216,18 +216,20 @@
             return SAME_REGION_SILENCE_S
         return CROSS_REGION_SILENCE_S
 
-    def has_established_follower(self, *, now: float) -> bool:
-        """Returns whether a live host has followed the store without a break.
+    def store_available_since(self, *, now: float) -> float:
+        """Returns a time from which on the store was available to hosts.
 
-        It must have done so for ``ESTABLISHED_FOLLOWER_S``; the store itself
-        was then recently available.
+        That is ``FOLLOWER_CONFIRMATION_S`` after a live host began to follow
+        the store, or now if none has followed it for so long. A follower
+        notices only after some time that the store does not answer.
         """
-        return any(
-            now - since >= ESTABLISHED_FOLLOWER_S
-            and now - self.peers[name].last_heartbeat_at < FOLLOWER_SILENCE_S
+        since = [
+            since
             for name, since in self.following_since.items()
             if name in self.peers
-        )
+            and now - self.peers[name].last_heartbeat_at < FOLLOWER_SILENCE_S
+        ]
+        return min(now, min(since, default=now) + FOLLOWER_CONFIRMATION_S)
 
     def same_region_hosts(self) -> list[HostState]:
         """Returns the other hosts of this region, including silent ones."""
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -74,8 +74,8 @@
     """All known targets.
 
     A target whose record is missing after an outage of the registry is kept
-    for ``MISSING_RECORD_GRACE_S``: its record may have expired during the
-    outage, and the target writes it again within that time.
+    until ``MISSING_RECORD_GRACE_S`` after the end of the outage: its record may
+    have expired meanwhile, and the target writes it again within that time.
 
     Attributes:
         targets: Targets by id.
@@ -127,7 +127,7 @@
         if self._has_no_recent_outage(now):
             return self._forget(target_id)
         if target.expires_at is None:
-            target.expires_at = now + MISSING_RECORD_GRACE_S
+            target.expires_at = self.recovered_at + MISSING_RECORD_GRACE_S
             return TargetChange(target_id, "missing")
         return None
 
@@ -150,9 +150,11 @@
             away_s: Duration of the outage in seconds. Outages shorter than
                 ``MIN_EXPIRING_OUTAGE_S`` are ignored, since no record expires
                 in them.
-            now: Seconds of the monotonic clock.
+            now: Time at which it became available, on the monotonic clock.
         """
-        if away_s >= MIN_EXPIRING_OUTAGE_S:
+        if away_s < MIN_EXPIRING_OUTAGE_S:
+            return
+        if self.recovered_at is None or now > self.recovered_at:
             self.recovered_at = now
             self.last_outage_s = away_s
 
--- a/packages/gateway/sardinewheel_gateway/store_sync.py
+++ b/packages/gateway/sardinewheel_gateway/store_sync.py
@@ -171,11 +171,12 @@
             away_s: Seconds for which this host, or the one that sent the
                 update, could not read it.
         """
-        now = clock.steady()
-        if not self.gossip.host_table.has_established_follower(now=now):
-            self.routing_state.target_table.record_registry_recovery(
-                away_s=away_s, now=now
-            )
+        available_since = self.gossip.host_table.store_available_since(
+            now=clock.steady()
+        )
+        self.routing_state.target_table.record_registry_recovery(
+            away_s=away_s, now=available_since
+        )
 
     def expire(self) -> None:
         """Removes targets whose records have been missing for too long."""
--- a/tests/gateway/policy/test_hosts.py
+++ b/tests/gateway/policy/test_hosts.py
@@ -2,6 +2,7 @@
 
 from sardinewheel_gateway.policy.digests import HostStatus, host_id
 from sardinewheel_gateway.policy.hosts import (
+    FOLLOWER_CONFIRMATION_S,
     HOST_EXPIRY_S,
     RESTART_SILENCE_S,
     SAME_REGION_SILENCE_S,
@@ -109,25 +110,28 @@
     return state(name, store=StoreAccess.FOLLOWING, **fields)
 
 
-def test_follower_is_established_after_several_seconds():
+def test_store_is_available_since_a_live_host_follows_it():
     host_table = HostTable(state("a"))
     for number in range(20):
         host_table.record_heartbeat(
             follower("b", sequence=number + 1), now=number * 0.4
         )
-    assert host_table.has_established_follower(now=8.0)
+    since = host_table.store_available_since(now=8.0)
+    assert since == FOLLOWER_CONFIRMATION_S
 
 
-def test_follower_that_just_recovered_the_store_is_not_established():
+def test_follower_that_just_recovered_the_store_proves_no_earlier_time():
     host_table = HostTable(state("a"))
     away = state("b", store=StoreAccess.AWAY)
     host_table.record_heartbeat(follower("b"), now=0.0)
     host_table.record_heartbeat(away._replace(sequence=2), now=4.0)
     host_table.record_heartbeat(follower("b", sequence=3), now=5.0)
-    assert not host_table.has_established_follower(now=5.5)
+    assert host_table.store_available_since(now=5.5) == 5.5
+    since = host_table.store_available_since(now=6.9)
+    assert since == 5.0 + FOLLOWER_CONFIRMATION_S
 
 
-def test_silent_follower_is_not_established():
+def test_silent_follower_proves_nothing():
     host_table = HostTable(state("a"))
     host_table.record_heartbeat(follower("b"), now=0.0)
-    assert not host_table.has_established_follower(now=6.0)
+    assert host_table.store_available_since(now=6.0) == 6.0
--- a/tests/gateway/policy/test_targets.py
+++ b/tests/gateway/policy/test_targets.py
@@ -53,6 +53,24 @@
     assert ids(target_table) == ["t2"]
 
 
+def test_grace_period_begins_when_the_registry_recovers():
+    """A record that is removed late in the period has not long to return."""
+    target_table = TargetTable()
+    target_table.put(record(), now=0.0)
+    target_table.record_registry_recovery(away_s=4.0, now=10.0)
+    assert target_table.remove("t1", now=12.0).event == "missing"
+    changes = target_table.expire(now=10.0 + MISSING_RECORD_GRACE_S)
+    assert [(c.target_id, c.event) for c in changes] == [("t1", "gone")]
+
+
+def test_recovery_reported_late_does_not_bring_an_earlier_one_back():
+    target_table = TargetTable()
+    target_table.put(record(), now=0.0)
+    target_table.record_registry_recovery(away_s=4.0, now=10.0)
+    target_table.record_registry_recovery(away_s=4.0, now=9.0)
+    assert target_table.recovered_at == 10.0
+
+
 def test_target_is_removed_at_once_after_a_short_outage():
     target_table = TargetTable()
     target_table.put(record(), now=0.0)
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -9,6 +9,7 @@
 from sardinewheel_gateway.policy.hosts import HostTable, StoreAccess
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.routing_state import RoutingState
+from sardinewheel_gateway.policy.targets import MISSING_RECORD_GRACE_S
 from sardinewheel_gateway.policy.updates import (
     NO_POSITION,
     OperatorsUpdate,
@@ -81,6 +82,22 @@
     assert usable(sync) == ["t1", "t2"]
 
 
+def test_outage_noticed_late_is_dated_by_a_host_that_follows_the_store(sync):
+    """The host's own calls failed longer than the store was away."""
+    now = clock.steady()
+    for number in range(8):
+        follower = state("c", store=StoreAccess.FOLLOWING, sequence=number + 1)
+        sync.gossip.host_table.record_heartbeat(
+            follower, now=now - 2.9 + number * 0.4
+        )
+    sync.record_registry_recovery(away_s=9.0)
+    sync.apply_store_update(Update(targets=REMOVAL_UPDATE))
+    assert usable(sync) == ["t1", "t2"]
+    later = now + MISSING_RECORD_GRACE_S - 1.0
+    sync.routing_state.target_table.expire(now=later)
+    assert usable(sync) == ["t2"]
+
+
 def test_outage_is_ignored_if_another_host_followed_the_store(sync):
     add_established_follower(sync)
     sync.record_registry_recovery(away_s=9.96)
