Log what targets announce, and count limited targets

Change: the platform folder reads the header; a table holds the latest limit of each target; target-limit-named, target-limit-ended and target-announcement-invalid are logged, attempt-ended carries the limit known at the attempt, and the gauge limited_targets counts them. No decision uses it yet. Unreadable values (negative, not decimal, over nine digits, two that differ) change nothing and are logged once a target.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -24,6 +24,7 @@
 from sardinewheel_gateway.policy.placement import Placed
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
+from sardinewheel_gateway.policy.targets import Target
 
 CONNECT_TIMEOUT_S = 0.3
 IDEMPOTENT_IDLE_S = 8.0
@@ -208,8 +209,31 @@
             is_error=is_failure and response_info.was_executed,
             now=clock.steady(),
         )
+        if not response_info.is_other_target:
+            self._record_announcement(placed.target, response_info)
         return Answered(response, response_info, placed, exchange)
 
+    def _record_announcement(
+        self, target: Target, response_info: ResponseInfo
+    ) -> None:
+        announcement = response_info.announcement
+        target_id = target.record.target_id
+        if announcement is None:
+            if self.routing_state.announcements.is_first_invalid(target_id):
+                self.log.warning(
+                    "target-announcement-invalid", target=target_id
+                )
+        elif self.routing_state.record_announcement(target, announcement):
+            self._log_limit(target_id, announcement.limit_per_s)
+
+    def _log_limit(self, target_id: str, limit_per_s: float | None) -> None:
+        if limit_per_s is None:
+            self.log.info("target-limit-ended", target=target_id)
+        else:
+            self.log.info(
+                "target-limit-named", target=target_id, limit_per_s=limit_per_s
+            )
+
     def _build_request(
         self, request: Request, target_id: str
     ) -> OutgoingRequest:
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -151,6 +151,9 @@
         self, placed: Placed, result: AttemptResult, began: float
     ) -> None:
         is_good = isinstance(result, Answered) and result.has_succeeded
+        limit = {}
+        if placed.limit_per_s is not None:
+            limit["limit_per_s"] = placed.limit_per_s
         (self.log.request if is_good else self.log.info)(
             "attempt-ended",
             request=self.request.caller.request_id,
@@ -165,6 +168,7 @@
             waited_s=began - self.exchange.head.received_at,
             took_s=clock.steady() - began,
             left_s=self.request.deadline - clock.steady(),
+            **limit,
         )
 
     def _placement_request(self) -> PlacementRequest:
--- a/packages/gateway/sardinewheel_gateway/platform_adapter.py
+++ b/packages/gateway/sardinewheel_gateway/platform_adapter.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple, Protocol
 
 from sardinewheel_gateway.messages import Headers
+from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.loads import ReportedLoad
 
 
@@ -30,12 +31,14 @@
         was_executed: Whether the target may have executed the request.
         is_other_target: Whether a target other than the named one responded.
         load: Load that the target reported, if any.
+        announcement: What the target announces; None if it cannot be read.
     """
 
     is_authentic: bool
     was_executed: bool
     is_other_target: bool
     load: ReportedLoad | None
+    announcement: Announcement | None
 
 
 class Lookup(NamedTuple):
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -10,6 +10,7 @@
 import random
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.announcements import AnnouncementTable
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
@@ -61,12 +62,15 @@
             for any other.
         load_age_s: Seconds since the target last reported its load, at most
             ``MAX_LOAD_AGE_S``, also if it never has.
+        limit_per_s: Limit that the target names, in requests per second;
+            ``None`` without one.
     """
 
     target: Target
     load: float
     choice: str
     load_age_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 class Refused(NamedTuple):
@@ -111,6 +115,7 @@
     Attributes:
         target_table: The targets.
         loads: Load and health of the targets.
+        announcements: What the targets announce in their responses.
         cold_admission: Admission control for cold targets.
         objects: Objects by service.
         cold_rates: Requests per second that a cold target can handle, by
@@ -124,12 +129,14 @@
         *,
         target_table: TargetTable,
         loads: LoadTable,
+        announcements: AnnouncementTable,
         cold_admission: ColdAdmission,
         regions: dict[str, str],
         rng: random.Random,
     ):
         self.target_table = target_table
         self.loads = loads
+        self.announcements = announcements
         self.cold_admission = cold_admission
         self.regions = regions
         self.rng = rng
@@ -226,7 +233,10 @@
                 continue
             relative = load.estimate(now) / max(1, target.record.slots)
             age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-            found.append(Placed(target, relative, f"rank-{rank}", age_s))
+            limit_per_s = self.announcements.limits.get(target_id)
+            found.append(
+                Placed(target, relative, f"rank-{rank}", age_s, limit_per_s)
+            )
         return found
 
     def _admits_cold(self, target: Target, now: float) -> bool:
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -3,6 +3,10 @@
 import random
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.announcements import (
+    Announcement,
+    AnnouncementTable,
+)
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
 from sardinewheel_gateway.policy.placement import Placer
@@ -46,6 +50,7 @@
         splits: Distributes the requests of a route among services.
         target_table: The targets.
         loads: Load and health of the targets.
+        announcements: What the targets announce in their responses.
         cold_admission: Admission control for cold targets.
         budgets: Retry budgets by service.
         placer: Assigns requests to targets.
@@ -68,6 +73,7 @@
         self.splits = SplitChooser()
         self.target_table = TargetTable()
         self.loads = LoadTable()
+        self.announcements = AnnouncementTable()
         self.cold_admission = ColdAdmission(host, bounds.cold)
         self.budgets: dict[str, RetryBudget] = {}
         self.lowest_priorities: dict[str, int] = {}
@@ -75,6 +81,7 @@
         self.placer = Placer(
             target_table=self.target_table,
             loads=self.loads,
+            announcements=self.announcements,
             cold_admission=self.cold_admission,
             regions=regions,
             rng=rng,
@@ -140,6 +147,12 @@
         if response.load is not None:
             load.record_load_report(response.load, now=now)
 
+    def record_announcement(
+        self, target: Target, announcement: Announcement
+    ) -> bool:
+        """Records what a response announces; returns whether it is new."""
+        return self.announcements.record(target.record.target_id, announcement)
+
     def record_target_failure(self, target: Target, now: float) -> None:
         """Records that a target is unreachable or closed the connection."""
         self.loads.of(target.record.target_id).record_failure(now=now)
@@ -168,6 +181,7 @@
     def forget_target(self, target_id: str) -> None:
         """Drops the state of a target that has left or restarted."""
         self.loads.forget(target_id)
+        self.announcements.forget(target_id)
         self.cold_admission.forget(target_id)
 
     def _budget(self, service: str) -> RetryBudget:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -274,6 +274,7 @@
         return {
             "configuration_version": self.routing_state.version,
             "targets": len(self.routing_state.target_table.targets),
+            "limited_targets": len(self.routing_state.announcements.limits),
             "hosts": len(self.host_table.live(now=clock.steady())),
             "requests_under_way": len(self.front.in_progress),
             "caller_connections": len(self.front.connections),
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -17,6 +17,7 @@
     Lookup,
     ResponseInfo,
 )
+from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.cold_admission import ColdBound
 from sardinewheel_gateway.policy.loads import ReportedLoad
 from sardinewheel_gateway.policy.retries import RetryBound
@@ -73,12 +74,22 @@
             was_executed=header_value(headers, b"x-not-run") is None,
             is_other_target=status == 421,
             load=ReportedLoad(1, 0, 3),
+            announcement=_announcement(headers),
         )
 
     def local_response_headers(self, headers):
         return []
 
 
+def _announcement(headers):
+    """Returns the parsed announcement; None if the limit is not a number."""
+    limit = header_value(headers, b"x-limit")
+    try:
+        return Announcement(limit and float(limit))
+    except ValueError:
+        return None
+
+
 class ScriptedTarget:
     """A target that passes each request to a script.
 
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from sardinewheel_gateway.policy.announcements import AnnouncementTable
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
 from sardinewheel_gateway.policy.placement import (
@@ -26,6 +27,7 @@
     return Placer(
         target_table=target_table,
         loads=LoadTable(),
+        announcements=AnnouncementTable(),
         cold_admission=ColdAdmission("host-1", ColdBound(1.5, 5.0)),
         regions=REGIONS,
         rng=random.Random(7),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -102,3 +102,36 @@
     assert ADAPTER.lookup(b"/readiness") is None
     body = json.loads(ADAPTER.lookup_response(["10.0.0.1:80"], ttl_s=2.0))
     assert body == {"Addresses": ["10.0.0.1:80"], "Ttl": "2000ms"}
+
+
+@pytest.mark.parametrize(
+    ("values", "announcement"),
+    [
+        ([], (None,)),
+        ([b"2.7"], (2.7,)),
+        ([b"0"], (0.0,)),
+        ([b" 12 "], (12.0,)),
+        ([b"3", b"3"], (3.0,)),
+    ],
+)
+def test_announced_limit_is_decoded(values, announcement):
+    headers = [(b"server-limit", value) for value in values]
+    assert ADAPTER.response_info(200, headers).announcement == announcement
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        [b""],
+        [b"-1"],
+        [b"many"],
+        [b"nan"],
+        [b"inf"],
+        [b"1e3"],
+        [b"9" * 400],
+        [b"2", b"3"],
+    ],
+)
+def test_unreadable_limit_is_not_taken_for_no_limit(values):
+    headers = [(b"server-limit", value) for value in values]
+    assert ADAPTER.response_info(200, headers).announcement is None
