Add a failing test: hosts that were told a limit keep it together

Six gateways as processes in four failure domains and two regions, two targets, 24 requests a second. One target names a limit of 2 requests a second. Over each 4 s from 4 s after the first naming, hosts that were told at least 0.5 s before may send 1.5 times what the limit allows, and 5 more: 17.

The group of gateways that test_program used moves to a module of its own, for any number of failure domains; its tests are unchanged but for the name.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -131,6 +131,11 @@
     return hashlib.sha256(request_id.encode()).hexdigest().encode()
 
 
+def host_number(request_id):
+    """Returns the number of the gateway that a caller sent a request to."""
+    return int(request_id.rpartition("-")[2])
+
+
 class Target:
     """Fake target that registers itself and counts executions.
 
@@ -141,6 +146,9 @@
             ``extra`` (sends the response twice) or ``half`` (truncates it).
         on_request: Called with this target and the id of each request.
         silenced: Connections whose requests are ignored.
+        limit: ``NamedLimit`` that it names in its responses, if any.
+        on_limit_exceeded: Called with this target and the id of a request
+            beyond what the limit allows.
     """
 
     def __init__(
@@ -154,6 +162,8 @@
         self.service = service
         self.rng = rng
         self.fault = ""
+        self.limit = None
+        self.on_limit_exceeded = lambda *_: None
         self.running = 0
         self.connections = set()
         self.silenced = set()
@@ -219,6 +229,7 @@
             if headers["sardinewheel-target-instance"] != self.name:
                 self._send(sock, request_id, 421, b"")
                 continue
+            self._record_arrival(request_id)
             fault = self.fault if self.rng.random() < 0.3 else ""
             if fault == "shed" or self.running >= SLOTS * 4:
                 extra_headers = "Sardinewheel-Not-Executed: 1\r\n"
@@ -229,6 +240,19 @@
             if fault in ("lose", "half"):
                 return
 
+    def _record_arrival(self, request_id):
+        """Counts a request against the limit, if this target names one."""
+        if self.limit is not None and self.limit.record_arrival(
+            host_number(request_id), time.monotonic()
+        ):
+            self.on_limit_exceeded(self, request_id)
+
+    def _limit_header(self, request_id):
+        if self.limit is None:
+            return ""
+        self.limit.record_response(host_number(request_id), time.monotonic())
+        return f"Server-Limit: {self.limit.limit_per_s}\r\n"
+
     def _execute(self, sock, request_id, fault):
         self.execution_counts[request_id] = (
             self.execution_counts.get(request_id, 0) + 1
@@ -260,6 +284,7 @@
         head = (
             f"HTTP/1.1 {status} X\r\nSardinewheel-Attempt-Id: {request_id}\r\n"
             f"{seal}{extra_headers}Sardinewheel-Server-Load: {load}\r\n"
+            f"{self._limit_header(request_id)}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         data = head.encode() + body
--- /dev/null
+++ b/tests/platform/gateway_group.py
@@ -0,0 +1,82 @@
+"""Several gateway processes, each with a relay of its own to the store."""
+
+import random
+
+import gevent
+
+from tests.platform.fakes import Store
+from tests.platform.gateway_process import (
+    CONTROL_PORT,
+    INTERNAL_PORT,
+    GatewayProcess,
+)
+from tests.platform.relays import ConnectionRelay, DatagramRelay
+from tests.platform.soak.operators import configuration
+
+START_TIMEOUT_S = 30.0
+
+
+class GatewayGroup:
+    """Gateways with a fake store.
+
+    Attributes:
+        store: Fake store.
+        store_relays: Relay between each gateway and the store.
+        gateways: Gateway processes.
+        datagram_relays: Relay of the datagrams to each gateway.
+        control_relays: Relay of other gateways' connections to each gateway.
+    """
+
+    def __init__(self, folder, domains):
+        self.store = Store()
+        self.store.put("op", "config", configuration(1))
+        self.store_relays = [
+            ConnectionRelay(self.store.address) for _ in domains
+        ]
+        all_domains = sorted(set(domains))
+        self.gateways = [
+            GatewayProcess(
+                n, relay.address, folder, domain=domain, domains=all_domains
+            )
+            for n, (relay, domain) in enumerate(
+                zip(self.store_relays, domains, strict=True)
+            )
+        ]
+        rng = random.Random(1)
+        self.datagram_relays = [
+            DatagramRelay(
+                (x.relay_ip, INTERNAL_PORT), (x.ip, INTERNAL_PORT), rng
+            )
+            for x in self.gateways
+        ]
+        self.control_relays = [
+            ConnectionRelay(
+                f"{x.ip}:{CONTROL_PORT}", (x.relay_ip, CONTROL_PORT)
+            )
+            for x in self.gateways
+        ]
+
+    def start(self):
+        """Starts all and waits until they are ready."""
+        for gateway in self.gateways:
+            gateway.start()
+        with gevent.Timeout(START_TIMEOUT_S):
+            while not all(x.is_ready() for x in self.gateways):
+                gevent.sleep(0.05)
+
+    def wait_for_log(self, text, timeout_s):
+        """Waits until all logs contain a text."""
+        with gevent.Timeout(timeout_s):
+            while not all(
+                text in x.log_path.read_text() for x in self.gateways
+            ):
+                gevent.sleep(0.05)
+
+    def close(self):
+        """Stops the processes and servers."""
+        for gateway in self.gateways:
+            gateway.kill_if_running()
+        for relay in self.datagram_relays:
+            relay.close()
+        for server in (self.store, *self.store_relays, *self.control_relays):
+            server.server.stop()
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from tests.platform.fakes import Store, Target
+from tests.platform.fakes import Store, Target, host_number
 from tests.platform.gateway_process import (
     CONTROL_PORT,
     INTERNAL_PORT,
@@ -128,7 +128,7 @@
         self.checker.record_target_joining(target.name)
 
     def _on_target_request(self, target, request_id):
-        gateway = self.gateways[int(request_id.rpartition("-")[2])]
+        gateway = self.gateways[host_number(request_id)]
         self.checker.check_target_request(
             target, request_id, gateway, self.operators.evacuated
         )
--- /dev/null
+++ b/tests/platform/test_announced_limits.py
@@ -0,0 +1,87 @@
+"""All hosts together keep to the limit that a target names."""
+
+import random
+
+import gevent
+import pytest
+
+from tests.platform.fakes import Target
+from tests.platform.soak.callers import connect, exchange, request
+from tests.platform.soak.limits import CONVERGENCE_S, WINDOW_S, NamedLimit
+
+DOMAINS = ("north-a", "north-a", "north-b", "east-a", "east-a", "east-b")
+REQUESTS_PER_S = 24.0
+OBJECT_COUNT = 40
+LIMIT_PER_S = 2.0
+UNLIMITED_S = 1.0
+MIN_SERVED_RATIO = 0.98
+
+
+class Load:
+    """Callers that send requests to all hosts at a constant rate.
+
+    Attributes:
+        statuses: Status of each response; 0 if there was none.
+    """
+
+    def __init__(self, gateways):
+        self.gateways = gateways
+        self.rng = random.Random(3)
+        self.statuses = []
+        self.number = 0
+        self.task = gevent.spawn(self._send_forever)
+
+    def stop(self):
+        """Sends no further requests and waits for the last responses."""
+        self.task.kill()
+        gevent.sleep(1.0)
+
+    def _send_forever(self):
+        while True:
+            gevent.spawn(self._send, self.rng.choice(self.gateways))
+            gevent.sleep(self.rng.expovariate(REQUESTS_PER_S))
+
+    def _send(self, gateway):
+        self.number += 1
+        sock = connect(gateway)
+        key = self.rng.randint(1, OBJECT_COUNT)
+        data = request(
+            "GET", "/idempotent/x", f"{self.number}-{gateway.number}", key=key
+        )
+        response = exchange(sock, data)
+        sock.close()
+        self.statuses.append(response[0] if response else 0)
+
+
+@pytest.fixture
+def group(make_group):
+    """Running hosts with two targets, ``targets``."""
+    created = make_group(*DOMAINS)
+    created.targets = [
+        Target(
+            f"t{number}",
+            created.store,
+            {},
+            service="orders",
+            domain=DOMAINS[0],
+            rng=random.Random(number),
+            on_request=lambda *_: None,
+        )
+        for number in range(2)
+    ]
+    created.start()
+    yield created
+    for target in created.targets:
+        target.crash()
+
+
+def test_hosts_that_were_told_a_limit_keep_it_together(group):
+    limit = NamedLimit(LIMIT_PER_S)
+    load = Load(group.gateways)
+    gevent.sleep(UNLIMITED_S)
+    group.targets[0].limit = limit
+    gevent.sleep(CONVERGENCE_S + 1.5 * WINDOW_S)
+    load.stop()
+    assert limit.worst <= limit.allowed
+    served = load.statuses.count(200)
+    assert served >= MIN_SERVED_RATIO * len(load.statuses)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -11,13 +11,7 @@
 from gevent.server import StreamServer
 
 from tests.platform.fakes import Store, Target
-from tests.platform.gateway_process import (
-    CONTROL_PORT,
-    FRONT_PORT,
-    INTERNAL_PORT,
-    GatewayProcess,
-)
-from tests.platform.relays import ConnectionRelay, DatagramRelay
+from tests.platform.gateway_process import FRONT_PORT, GatewayProcess
 from tests.platform.soak.callers import exchange, request
 from tests.platform.soak.operators import configuration
 
@@ -248,99 +242,23 @@
     deployment.start()
 
 
-class GatewayPair:
-    """Two gateways, each with its own relay to the store.
-
-    Attributes:
-        store: Fake store.
-        store_relays: Relay between each gateway and the store.
-        gateways: Gateway processes.
-    """
-
-    def __init__(self, folder, domains):
-        self.store = Store()
-        self.store.put("op", "config", configuration(1))
-        self.store_relays = [
-            ConnectionRelay(self.store.address) for _ in domains
-        ]
-        self.gateways = [
-            GatewayProcess(
-                n, relay.address, folder, domain=domain, domains=domains
-            )
-            for n, (relay, domain) in enumerate(
-                zip(self.store_relays, domains, strict=True)
-            )
-        ]
-        rng = random.Random(1)
-        self.datagram_relays = [
-            DatagramRelay(
-                (x.relay_ip, INTERNAL_PORT), (x.ip, INTERNAL_PORT), rng
-            )
-            for x in self.gateways
-        ]
-        self.control_relays = [
-            ConnectionRelay(
-                f"{x.ip}:{CONTROL_PORT}", (x.relay_ip, CONTROL_PORT)
-            )
-            for x in self.gateways
-        ]
-
-    def start(self):
-        """Starts both and waits until they are ready."""
-        for gateway in self.gateways:
-            gateway.start()
-        with gevent.Timeout(START_TIMEOUT_S):
-            while not all(x.is_ready() for x in self.gateways):
-                gevent.sleep(0.05)
-
-    def wait_for_log(self, text, timeout_s):
-        """Waits until both logs contain a text."""
-        with gevent.Timeout(timeout_s):
-            while not all(
-                text in x.log_path.read_text() for x in self.gateways
-            ):
-                gevent.sleep(0.05)
-
-    def close(self):
-        """Stops the processes and servers."""
-        for gateway in self.gateways:
-            gateway.kill_if_running()
-        for relay in self.datagram_relays:
-            relay.close()
-        for server in (self.store, *self.store_relays, *self.control_relays):
-            server.server.stop()
-
-
-@pytest.fixture
-def make_pair(tmp_path):
-    created = []
-
-    def make(*domains):
-        created.append(GatewayPair(tmp_path, domains))
-        return created[-1]
-
-    yield make
-    for pair in created:
-        pair.close()
-
-
-def test_host_without_store_access_gets_updates_from_another_host(make_pair):
-    pair = make_pair("north-a", "north-b")
-    pair.store_relays[1].mode = "silent"
-    pair.start()
-    pair.store.put("op", "config", configuration(7))
-    pair.wait_for_log("version=7", 5.0)
+def test_host_without_store_access_gets_updates_from_another_host(make_group):
+    group = make_group("north-a", "north-b")
+    group.store_relays[1].mode = "silent"
+    group.start()
+    group.store.put("op", "config", configuration(7))
+    group.wait_for_log("version=7", 5.0)
 
 
-def test_silent_store_connections_of_all_hosts_are_replaced(make_pair):
+def test_silent_store_connections_of_all_hosts_are_replaced(make_group):
     """Open connections of hosts in both regions go silent; new ones work."""
-    pair = make_pair("north-a", "east-a")
-    pair.start()
-    pair.wait_for_log("event=store-follow-started", 10.0)
+    group = make_group("north-a", "east-a")
+    group.start()
+    group.wait_for_log("event=store-follow-started", 10.0)
     # Wait until each host knows that the other follows the store too.
-    pair.wait_for_log("store=FOLLOWING", 10.0)
+    group.wait_for_log("store=FOLLOWING", 10.0)
     gevent.sleep(2.0)
-    for relay in pair.store_relays:
+    for relay in group.store_relays:
         relay.silence_open_connections()
-    pair.store.put("op", "config", configuration(9))
-    pair.wait_for_log("version=9", 10.0)
+    group.store.put("op", "config", configuration(9))
+    group.wait_for_log("version=9", 10.0)
