Keep all hosts together to the rate limit that a target names

Callers' requests went on to targets that had named a limit, at the rate of before: in the incident LIMIT 32 in 4 s at a target that had named 2 a second.

Cause: no decision read the limit. What a party announces in its answers was acted on by no host. That each host keeps the whole limit for itself was ruled out by reading: nothing compares a rate with it.

Change: hosts pass on what targets announce; the announcement seen last in a response counts, at any host. A limit is divided evenly among failure domains, which all hosts compute alike from their settings, and in each domain one live host spends the share from a token bucket that starts empty. As partitions run between domains, the shares add up to the limit at most whoever is cut off. A target's share goes to fewer domains the smaller the limit, since each may send one request after an idle time. Placement asks before it offers a request, so retries and spare choices do too.

Simulated fleets of up to 195 hosts keep the bound for limits of 0 to 40 a second, while hosts start at once, die, pause and return.

Limits: a large fleet uses little of a limit, since few callers reach the one host of a domain that spends it.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -1,6 +1,6 @@
 """One attempt to send a request to one target, and its result."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 import gevent
@@ -21,6 +21,7 @@
     PlatformAdapter,
     ResponseInfo,
 )
+from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.placement import Placed
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
@@ -122,6 +123,8 @@
         adapter: Parses and builds the platform's headers.
         pool: Idle connections to targets.
         metrics: Counts new connections.
+        on_announcement: Called with a target that responded and what the
+            response announces; None if that cannot be read.
     """
 
     def __init__(
@@ -136,6 +139,8 @@
         self.metrics = metrics
         self.log = log
         self.pool = ConnectionPool()
+        self.on_announcement: Callable[[Target, Announcement | None], None]
+        self.on_announcement = lambda _target, _announcement: None
 
     def send(self, request: Request, placed: Placed) -> AttemptResult:
         """Sends a request to a target and waits for the response."""
@@ -210,30 +215,9 @@
             now=clock.steady(),
         )
         if not response_info.is_other_target:
-            self._record_announcement(placed.target, response_info)
+            self.on_announcement(placed.target, response_info.announcement)
         return Answered(response, response_info, placed, exchange)
 
-    def _record_announcement(
-        self, target: Target, response_info: ResponseInfo
-    ) -> None:
-        announcement = response_info.announcement
-        target_id = target.record.target_id
-        if announcement is None:
-            if self.routing_state.announcements.is_first_invalid(target_id):
-                self.log.warning(
-                    "target-announcement-invalid", target=target_id
-                )
-        elif self.routing_state.record_announcement(target, announcement):
-            self._log_limit(target_id, announcement.limit_per_s)
-
-    def _log_limit(self, target_id: str, limit_per_s: float | None) -> None:
-        if limit_per_s is None:
-            self.log.info("target-limit-ended", target=target_id)
-        else:
-            self.log.info(
-                "target-limit-named", target=target_id, limit_per_s=limit_per_s
-            )
-
     def _build_request(
         self, request: Request, target_id: str
     ) -> OutgoingRequest:
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -152,8 +152,8 @@
     ) -> None:
         is_good = isinstance(result, Answered) and result.has_succeeded
         limit = {}
-        if placed.limit_per_s is not None:
-            limit["limit_per_s"] = placed.limit_per_s
+        if placed.limit is not None:
+            limit["limit_per_s"] = placed.limit.per_s
         (self.log.request if is_good else self.log.info)(
             "attempt-ended",
             request=self.request.caller.request_id,
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -1,4 +1,7 @@
-"""UDP datagrams between hosts: membership, small updates and object uses."""
+"""UDP datagrams between hosts.
+
+They carry membership, small updates, object uses and targets' announcements.
+"""
 
 import random
 from collections.abc import Callable, Iterable
@@ -8,7 +11,8 @@
 from gevent import socket
 
 from sardinewheel_gateway import clock
-from sardinewheel_gateway.policy import membership
+from sardinewheel_gateway.policy import announcements, membership
+from sardinewheel_gateway.policy.announcements import Report
 from sardinewheel_gateway.policy.hosts import (
     HostState,
     HostTable,
@@ -30,6 +34,7 @@
 DECODE_ERRORS = (ValueError, TypeError, LookupError, cbor2.CBORDecodeError)
 UPDATE = 2
 OBJECTS = 3
+ANNOUNCEMENTS = 8
 MAX_OBJECTS_PER_DATAGRAM = 30
 
 
@@ -41,6 +46,8 @@
         protocol: Messages by which hosts come to know each other.
         on_update: Called with an update and the name of the sending host.
         on_objects: Called with the object uses that another host reported.
+        on_announcements: Called with the announcements of targets that another
+            host reported, and its name.
     """
 
     def __init__(
@@ -53,6 +60,7 @@
         self.log = log
         self.on_update: Callable[[Update, str], None] = _do_nothing
         self.on_objects: Callable[[list[ObjectUse]], None] = _do_nothing
+        self.on_announcements: Callable[[list[Report], str], None] = _do_nothing
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
@@ -119,6 +127,16 @@
             for address in self._same_region_addresses():
                 self._send(address, data)
 
+    def send_announcements(
+        self, reports: list[Report], recipients: list[HostState]
+    ) -> None:
+        """Sends announcements of targets to the given hosts."""
+        plain = announcements.to_plain(reports)
+        name = self.host_table.own.name
+        data = cbor2.dumps([ANNOUNCEMENTS, name, plain])
+        for host in recipients:
+            self._send(host.gossip, data)
+
     def _same_region_addresses(self) -> set[str]:
         return {host.gossip for host in self.host_table.same_region_hosts()}
 
@@ -156,6 +174,9 @@
             self.on_update(from_plain(cbor2.loads(data)), name)
         elif kind == OBJECTS:
             self.on_objects([ObjectUse(*use) for use in message[1]])
+        elif kind == ANNOUNCEMENTS:
+            _, name, plain = message
+            self.on_announcements(announcements.from_plain(plain), name)
 
     def _log_discovered_hosts(self, states: list[HostState]) -> None:
         self.log.info(
--- a/packages/gateway/sardinewheel_gateway/policy/announcements.py
+++ b/packages/gateway/sardinewheel_gateway/policy/announcements.py
@@ -1,7 +1,26 @@
-"""What targets announce about themselves in their responses."""
+"""What targets announce about themselves in their responses.
 
+A host learns an announcement from a response of its own or from another host.
+The one seen last in a response counts, whichever host received it.
+"""
+
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.targets import TargetRecord
+
+# An announcement that no host has seen in a response for so long is dropped:
+# without requests to the target, its end would never be noticed.
+EXPIRY_S = 60.0
+# Oldest announcement that is reported to, or accepted from, other hosts.
+MAX_REPORTED_AGE_S = 30.0
+# Lead over the known announcement from which a reported one counts as newer.
+# Ages grow by the delay of the network, unnoticed, with each host that passes
+# them on.
+MIN_LEAD_S = 0.1
+NEWS_S = 2.0
+MAX_REPORTS = 12
+
 
 class Announcement(NamedTuple):
     """What one response of a target announces.
@@ -14,28 +33,137 @@
     limit_per_s: float | None = None
 
 
+class Report(NamedTuple):
+    """An announcement as hosts pass it on to each other.
+
+    Attributes:
+        target_id: Id of the target.
+        started_ms: Start of the target's process, see ``TargetRecord``.
+        limit_per_s: As in ``Announcement``.
+        age_s: Seconds since a response announced it, as far as known.
+    """
+
+    target_id: str
+    started_ms: int
+    limit_per_s: float | None
+    age_s: float
+
+
+class Entry(NamedTuple):
+    """The latest announcement of a target.
+
+    Attributes:
+        started_ms: Start of the target's process, see ``TargetRecord``.
+        announcement: The announcement.
+        changed_at: Time at which it became known here.
+        seen_at: Time at which a response last announced it.
+    """
+
+    started_ms: int
+    announcement: Announcement
+    changed_at: float
+    seen_at: float
+
+
+class Limit(NamedTuple):
+    """A limit that a target names.
+
+    Attributes:
+        per_s: Requests per second that it accepts from all hosts together.
+        since: Time from which this host knows it.
+    """
+
+    per_s: float
+    since: float
+
+
 class AnnouncementTable:
-    """Latest announcement of each target that makes one.
+    """Latest announcements of the targets.
+
+    A target that has withdrawn its announcement keeps an entry for a while, so
+    that hosts which missed the withdrawal learn of it.
 
     Attributes:
-        limits: Limit in requests per second, by target id.
-        reported_invalid: Targets whose unreadable announcements were reported.
+        entries: Latest announcement by target id.
+        limits: Limits in force, by target id.
+        reported_at: Time at which an entry was last reported, by target id.
+        reported_invalid: Targets whose unreadable announcements were logged.
     """
 
     def __init__(self):
-        self.limits: dict[str, float] = {}
+        self.entries: dict[str, Entry] = {}
+        self.limits: dict[str, Limit] = {}
+        self.reported_at: dict[str, float] = {}
         self.reported_invalid: set[str] = set()
 
-    def record(self, target_id: str, announcement: Announcement) -> bool:
-        """Records an announcement; returns whether it differs from the last."""
-        limit_per_s = announcement.limit_per_s
-        if self.limits.get(target_id) == limit_per_s:
+    def record(
+        self, record: TargetRecord, announcement: Announcement, *, now: float
+    ) -> bool:
+        """Records the announcement of a response; returns whether it is new."""
+        known = self.entries.get(record.target_id)
+        if known is None and announcement == Announcement():
             return False
-        if limit_per_s is None:
-            del self.limits[target_id]
-        else:
-            self.limits[target_id] = limit_per_s
-        return True
+        return self._put(record, announcement, seen_at=now, now=now)
+
+    def merge(
+        self, report: Report, record: TargetRecord | None, *, now: float
+    ) -> bool:
+        """Applies another host's report; returns whether it tells a change.
+
+        Args:
+            report: The report.
+            record: Record of its target; None if the target is not known.
+            now: Seconds of the monotonic clock.
+        """
+        if record is None or record.started_ms != report.started_ms:
+            return False
+        if not 0.0 <= report.age_s <= MAX_REPORTED_AGE_S:
+            return False
+        known = self.entries.get(report.target_id)
+        seen_at = now - report.age_s
+        if (
+            known is not None
+            and known.started_ms == report.started_ms
+            and seen_at < known.seen_at + MIN_LEAD_S
+        ):
+            return False
+        announcement = Announcement(report.limit_per_s)
+        return self._put(record, announcement, seen_at=seen_at, now=now)
+
+    def take_reports(self, *, now: float, only_news: bool) -> list[Report]:
+        """Returns the entries to report now, the longest unreported first.
+
+        Args:
+            now: Seconds of the monotonic clock.
+            only_news: Whether to leave out what has not changed for
+                ``NEWS_S``.
+        """
+        due = [
+            target_id
+            for target_id, entry in self.entries.items()
+            if now - entry.seen_at < MAX_REPORTED_AGE_S
+            and not (only_news and now - entry.changed_at > NEWS_S)
+        ]
+        due.sort(key=lambda target_id: self.reported_at.get(target_id, 0.0))
+        del due[MAX_REPORTS:]
+        self.reported_at.update(dict.fromkeys(due, now))
+        return [self._report(target_id, now) for target_id in due]
+
+    def expire(self, *, now: float) -> list[str]:
+        """Drops old entries; returns the ids of targets that had a limit."""
+        old = [
+            target_id
+            for target_id, entry in self.entries.items()
+            if now - entry.seen_at > EXPIRY_S
+            or (
+                entry.announcement == Announcement()
+                and now - entry.changed_at > EXPIRY_S
+            )
+        ]
+        limited = [target_id for target_id in old if target_id in self.limits]
+        for target_id in old:
+            self.forget(target_id)
+        return limited
 
     def is_first_invalid(self, target_id: str) -> bool:
         """Returns whether an unreadable announcement is a target's first."""
@@ -46,5 +174,58 @@
 
     def forget(self, target_id: str) -> None:
         """Drops the state of a target that has left or restarted."""
+        self.entries.pop(target_id, None)
         self.limits.pop(target_id, None)
+        self.reported_at.pop(target_id, None)
         self.reported_invalid.discard(target_id)
+
+    def _put(
+        self,
+        record: TargetRecord,
+        announcement: Announcement,
+        *,
+        seen_at: float,
+        now: float,
+    ) -> bool:
+        target_id = record.target_id
+        known = self.entries.get(target_id)
+        before = Announcement() if known is None else known.announcement
+        is_new = announcement != before
+        changed_at = now if is_new or known is None else known.changed_at
+        self.entries[target_id] = Entry(
+            record.started_ms, announcement, changed_at, seen_at
+        )
+        if announcement.limit_per_s is None:
+            self.limits.pop(target_id, None)
+        else:
+            limit = Limit(announcement.limit_per_s, changed_at)
+            self.limits[target_id] = limit
+        return is_new
+
+    def _report(self, target_id: str, now: float) -> Report:
+        entry = self.entries[target_id]
+        return Report(
+            target_id,
+            entry.started_ms,
+            entry.announcement.limit_per_s,
+            max(0.0, now - entry.seen_at),
+        )
+
+
+def to_plain(reports: Iterable[Report]) -> list[list]:
+    """Returns reports as nested lists, for serialization."""
+    return [list(report) for report in reports]
+
+
+def from_plain(plain: Iterable[list]) -> list[Report]:
+    """Returns the reports encoded by ``to_plain``.
+
+    Raises:
+        TypeError: The lists do not encode reports.
+        ValueError: A limit is negative.
+    """
+    reports = [Report(*fields) for fields in plain]
+    for report in reports:
+        if report.limit_per_s is not None and not report.limit_per_s >= 0.0:
+            raise ValueError(f"limit {report.limit_per_s!r} of a target")
+    return reports
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -210,6 +210,14 @@
         ]
         return [self.own, *recent]
 
+    def ready_domain_hosts(self, *, now: float) -> list[str]:
+        """Returns the names of the live, ready hosts of this failure domain."""
+        return [
+            host.name
+            for host in self.live(now=now)
+            if host.is_ready and host.domain == self.own.domain
+        ]
+
     def silence_s(self, host: HostState) -> float:
         """Returns the silence in seconds after which a host is not live."""
         if host.region == self.own.region:
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -10,8 +10,12 @@
 import random
 from typing import NamedTuple
 
-from sardinewheel_gateway.policy.announcements import AnnouncementTable
+from sardinewheel_gateway.policy.announcements import (
+    AnnouncementTable,
+    Limit,
+)
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission
+from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
 from sardinewheel_gateway.policy.routes import Route
@@ -62,15 +66,14 @@
             for any other.
         load_age_s: Seconds since the target last reported its load, at most
             ``MAX_LOAD_AGE_S``, also if it never has.
-        limit_per_s: Limit that the target names, in requests per second;
-            ``None`` without one.
+        limit: Limit that the target names, if any.
     """
 
     target: Target
     load: float
     choice: str
     load_age_s: float = 0.0
-    limit_per_s: float | None = None
+    limit: Limit | None = None
 
 
 class Refused(NamedTuple):
@@ -116,6 +119,7 @@
         target_table: The targets.
         loads: Load and health of the targets.
         announcements: What the targets announce in their responses.
+        limit_admission: Admission control for targets that name a limit.
         cold_admission: Admission control for cold targets.
         objects: Objects by service.
         cold_rates: Requests per second that a cold target can handle, by
@@ -130,6 +134,7 @@
         target_table: TargetTable,
         loads: LoadTable,
         announcements: AnnouncementTable,
+        limit_admission: LimitAdmission,
         cold_admission: ColdAdmission,
         regions: dict[str, str],
         rng: random.Random,
@@ -137,6 +142,7 @@
         self.target_table = target_table
         self.loads = loads
         self.announcements = announcements
+        self.limit_admission = limit_admission
         self.cold_admission = cold_admission
         self.regions = regions
         self.rng = rng
@@ -231,12 +237,14 @@
                 continue
             if not self._admits_cold(target, now):
                 continue
+            limit = self.announcements.limits.get(target_id)
+            if limit is not None and not self.limit_admission.admits(
+                target_id, limit, now
+            ):
+                continue
             relative = load.estimate(now) / max(1, target.record.slots)
             age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-            limit_per_s = self.announcements.limits.get(target_id)
-            found.append(
-                Placed(target, relative, f"rank-{rank}", age_s, limit_per_s)
-            )
+            found.append(Placed(target, relative, f"rank-{rank}", age_s, limit))
         return found
 
     def _admits_cold(self, target: Target, now: float) -> bool:
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -6,8 +6,10 @@
 from sardinewheel_gateway.policy.announcements import (
     Announcement,
     AnnouncementTable,
+    Report,
 )
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
+from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
 from sardinewheel_gateway.policy.placement import Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
@@ -51,6 +53,7 @@
         target_table: The targets.
         loads: Load and health of the targets.
         announcements: What the targets announce in their responses.
+        limit_admission: Admission control for targets that name a limit.
         cold_admission: Admission control for cold targets.
         budgets: Retry budgets by service.
         placer: Assigns requests to targets.
@@ -63,6 +66,7 @@
         self,
         *,
         host: str,
+        domain: str,
         bounds: Bounds,
         regions: dict[str, str],
         rng: random.Random,
@@ -74,6 +78,7 @@
         self.target_table = TargetTable()
         self.loads = LoadTable()
         self.announcements = AnnouncementTable()
+        self.limit_admission = LimitAdmission(host, domain, regions)
         self.cold_admission = ColdAdmission(host, bounds.cold)
         self.budgets: dict[str, RetryBudget] = {}
         self.lowest_priorities: dict[str, int] = {}
@@ -82,6 +87,7 @@
             target_table=self.target_table,
             loads=self.loads,
             announcements=self.announcements,
+            limit_admission=self.limit_admission,
             cold_admission=self.cold_admission,
             regions=regions,
             rng=rng,
@@ -129,6 +135,7 @@
     def record_dispatch(self, target: Target, now: float) -> None:
         """Records that a request is sent to a target."""
         self.cold_admission.record_dispatch(target.record.target_id, now)
+        self.limit_admission.record_dispatch(target.record.target_id)
 
     def record_response(
         self,
@@ -148,10 +155,30 @@
             load.record_load_report(response.load, now=now)
 
     def record_announcement(
-        self, target: Target, announcement: Announcement
+        self, target: Target, announcement: Announcement, *, now: float
     ) -> bool:
         """Records what a response announces; returns whether it is new."""
-        return self.announcements.record(target.record.target_id, announcement)
+        known = self.target_table.targets.get(target.record.target_id)
+        if known is not target:
+            return False
+        is_new = self.announcements.record(target.record, announcement, now=now)
+        self._drop_ended_limit(target.record.target_id)
+        return is_new
+
+    def merge_announcement(self, report: Report, *, now: float) -> bool:
+        """Applies another host's report; returns whether it tells a change."""
+        target = self.target_table.targets.get(report.target_id)
+        record = None if target is None else target.record
+        is_new = self.announcements.merge(report, record, now=now)
+        self._drop_ended_limit(report.target_id)
+        return is_new
+
+    def expire_announcements(self, *, now: float) -> list[str]:
+        """Drops old announcements; returns the targets that had a limit."""
+        expired = self.announcements.expire(now=now)
+        for target_id in expired:
+            self.limit_admission.forget(target_id)
+        return expired
 
     def record_target_failure(self, target: Target, now: float) -> None:
         """Records that a target is unreachable or closed the connection."""
@@ -182,8 +209,13 @@
         """Drops the state of a target that has left or restarted."""
         self.loads.forget(target_id)
         self.announcements.forget(target_id)
+        self.limit_admission.forget(target_id)
         self.cold_admission.forget(target_id)
 
+    def _drop_ended_limit(self, target_id: str) -> None:
+        if target_id not in self.announcements.limits:
+            self.limit_admission.forget(target_id)
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
         if budget is None:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -12,6 +12,7 @@
 import gevent.event
 
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.forwarder import Forwarder
 from sardinewheel_gateway.gossip import Gossip
@@ -116,6 +117,7 @@
         adapter: Parses and builds the platform's headers.
         source: Source of configuration and target updates.
         routing_state: State that decisions are based on.
+        announcement_exchange: Shares what targets announce.
         sync: Applies and forwards updates of operators and targets.
         is_shutting_down: Whether the process is shutting down.
         cached_update: Last update sent to another host.
@@ -137,6 +139,7 @@
         self.cached_update: CachedUpdate | None = None
         self.routing_state = RoutingState(
             host=settings.name,
+            domain=settings.domain,
             bounds=settings.bounds,
             regions=settings.regions,
             rng=self.rng,
@@ -151,6 +154,15 @@
         self.gossip = Gossip(
             settings.gossip, self.host_table, list(settings.seeds), self.log
         )
+        self.announcement_exchange = AnnouncementExchange(
+            routing_state=self.routing_state,
+            gossip=self.gossip,
+            log=self.log,
+            rng=self.rng,
+        )
+        self.forwarder.sender.on_announcement = (
+            self.announcement_exchange.record
+        )
         self.sync = StoreSync(
             routing_state=self.routing_state,
             gossip=self.gossip,
@@ -187,6 +199,7 @@
             server.start()
         self.gossip.start()
         keep_running("tick", self._tick_forever, self.log)
+        keep_running("announce", self.announcement_exchange.run, self.log)
         keep_running("relay", self.sync.relay.run, self.log)
         keep_running("follow", partial(self.source.run, self.sync), self.log)
 
@@ -224,6 +237,10 @@
             gevent.sleep(TICK_S)
             self.sync.expire()
             self.routing_state.set_hosts(self.host_table.names())
+            now = clock.steady()
+            self.routing_state.limit_admission.set_domain_hosts(
+                self.host_table.ready_domain_hosts(now=now), now=now
+            )
             self.routing_state.placer.objects.rebalance()
             self.gossip.send_objects(
                 self.routing_state.placer.objects.take_unsent()
--- a/packages/testing/sardinewheel_testing/emulator/hosts.py
+++ b/packages/testing/sardinewheel_testing/emulator/hosts.py
@@ -90,6 +90,7 @@
         self.has_failed = False
         self.routing_state = RoutingState(
             host=name,
+            domain=region,
             bounds=BOUNDS,
             regions={
                 target.region: target.region for target in targets.values()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,7 +7,9 @@
 from gevent import socket
 from gevent.server import StreamServer
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.forwarder import Forwarder
+from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.http_server import HttpServer
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.messages import header_value
@@ -19,11 +21,13 @@
 )
 from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.cold_admission import ColdBound
+from sardinewheel_gateway.policy.hosts import HostTable
 from sardinewheel_gateway.policy.loads import ReportedLoad
 from sardinewheel_gateway.policy.retries import RetryBound
 from sardinewheel_gateway.policy.routes import Configuration, Limits, Service
 from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
 
+from tests.gateway.policy.test_hosts import state
 from tests.gateway.policy.test_routes import route
 from tests.gateway.policy.test_targets import record
 
@@ -181,7 +185,7 @@
         self.log = Log(host="test", level="debug")
         rng = random.Random(7)
         self.routing_state = RoutingState(
-            host="test", bounds=BOUNDS, regions={}, rng=rng
+            host="test", domain="north-a", bounds=BOUNDS, regions={}, rng=rng
         )
         self.routing_state.configure(
             Configuration(
@@ -201,6 +205,18 @@
             metrics=Metrics(),
             log=self.log,
         )
+        self.gossip = Gossip(
+            "127.0.0.1:0", HostTable(state("test")), [], self.log
+        )
+        self.announcement_exchange = AnnouncementExchange(
+            routing_state=self.routing_state,
+            gossip=self.gossip,
+            log=self.log,
+            rng=rng,
+        )
+        self.forwarder.sender.on_announcement = (
+            self.announcement_exchange.record
+        )
         self.front = HttpServer(
             ("127.0.0.1", 0), self.forwarder.handle, self.log
         )
@@ -233,6 +249,7 @@
     def close(self):
         """Stops all servers."""
         self.front.listener.stop()
+        self.gossip.stop()
         for target in self.targets.values():
             target.server.stop()
 
--- /dev/null
+++ b/tests/gateway/policy/test_limit_admission.py
@@ -0,0 +1,195 @@
+"""Requests to a target that names a limit stay bounded over all hosts."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sardinewheel_gateway.policy.announcements import Limit
+from sardinewheel_gateway.policy.limit_admission import LimitAdmission
+
+WINDOW_S = 4.0
+EXCESS = 1.5
+SLACK = 5
+STEP_S = 0.05
+SILENCE_S = 3.5
+HEARTBEAT_DELAY_S = 0.5
+
+
+class SimulatedHost:
+    """A host with constant demand for a limited target.
+
+    Attributes:
+        name: Name of the host.
+        domain: Failure domain of the host.
+        admission: The admission control under test.
+        gone_since: Time at which it died or was paused; ``None`` if it runs.
+        back_since: Time at which it last started or was resumed.
+    """
+
+    def __init__(self, name, domain, domains, now):
+        self.name = name
+        self.domain = domain
+        self.admission = LimitAdmission(name, domain, domains)
+        self.gone_since = None
+        self.back_since = now
+
+
+class Fleet:
+    """Hosts that all send whenever they are admitted.
+
+    Hosts of a domain know of a start after ``HEARTBEAT_DELAY_S`` and of a death
+    after ``SILENCE_S``.
+
+    Attributes:
+        limit: Limit that the target names.
+        sent: Times of the requests.
+    """
+
+    def __init__(self, *, domains, hosts, limit_per_s, seed=1):
+        self.rng = random.Random(seed)
+        self.limit = Limit(limit_per_s, since=0.0)
+        names = [f"d{number}" for number in range(domains)]
+        self.hosts = [
+            SimulatedHost(f"h{n}", names[n % domains], names, -10.0)
+            for n in range(hosts)
+        ]
+        self.domain_hosts = {name: [] for name in names}
+        for host in self.hosts:
+            self.domain_hosts[host.domain].append(host)
+        self.now = 0.0
+        self.sent = []
+
+    def run(self, seconds):
+        """Lets all running hosts send for some time."""
+        end = self.now + seconds
+        while self.now < end:
+            self.rng.shuffle(self.hosts)
+            for host in self.hosts:
+                if host.gone_since is None:
+                    self._send(host)
+            self.now += STEP_S
+
+    def stop(self, host):
+        """Kills or pauses a host."""
+        host.gone_since = self.now
+
+    def resume(self, host):
+        """Lets a paused host go on with its state."""
+        host.gone_since = None
+        host.back_since = self.now
+
+    def restart(self, host):
+        """Starts a host anew."""
+        admission = host.admission
+        host.admission = LimitAdmission(
+            host.name, host.domain, admission.domains
+        )
+        self.resume(host)
+
+    def _send(self, host):
+        admission = host.admission
+        names = self._known(host)
+        admission.set_domain_hosts(names, now=self.now)
+        if admission.admits("t0", self.limit, self.now):
+            admission.record_dispatch("t0")
+            self.sent.append(self.now)
+
+    def _known(self, observer):
+        """Returns the hosts of its domain that a host counts as live."""
+        return [
+            host.name
+            for host in self.domain_hosts[observer.domain]
+            if host is observer or self._is_known(host, observer)
+        ]
+
+    def _is_known(self, host, observer):
+        if host.gone_since is not None:
+            return self.now - host.gone_since < SILENCE_S
+        newest = max(host.back_since, observer.back_since)
+        return self.now - newest > HEARTBEAT_DELAY_S
+
+    def most_in_window(self):
+        """Returns the largest number of requests in a window."""
+        return max(
+            sum(start <= at < start + WINDOW_S for at in self.sent)
+            for start in self.sent
+        )
+
+    @property
+    def allowed(self):
+        return EXCESS * self.limit.per_s * WINDOW_S + SLACK
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.3, 1.0, 2.0, 2.7, 8.0, 40.0])
+@pytest.mark.parametrize(("domains", "hosts"), [(1, 1), (6, 11), (9, 195)])
+def test_all_hosts_together_keep_the_limit(domains, hosts, limit_per_s):
+    fleet = Fleet(domains=domains, hosts=hosts, limit_per_s=limit_per_s)
+    fleet.run(30.0)
+    assert fleet.most_in_window() <= fleet.allowed
+    assert len(fleet.sent) <= 30.0 * max(limit_per_s, 0.1) + domains
+
+
+@pytest.mark.parametrize("limit_per_s", [1.0, 2.7, 8.0])
+def test_the_limit_is_used_while_all_domains_have_requests(limit_per_s):
+    fleet = Fleet(domains=6, hosts=11, limit_per_s=limit_per_s)
+    fleet.run(60.0)
+    assert len(fleet.sent) >= 0.9 * 60.0 * limit_per_s
+
+
+def test_hosts_that_start_at_once_keep_the_limit():
+    fleet = Fleet(domains=6, hosts=60, limit_per_s=8.0)
+    for host in fleet.hosts:
+        fleet.restart(host)
+    fleet.run(20.0)
+    assert fleet.most_in_window() <= fleet.allowed
+
+
+def test_another_host_of_the_domain_replaces_a_holder_that_died():
+    fleet = Fleet(domains=1, hosts=3, limit_per_s=4.0)
+    fleet.run(5.0)
+    holder = next(x for x in fleet.hosts if x.admission.buckets)
+    fleet.stop(holder)
+    before = len(fleet.sent)
+    fleet.run(20.0)
+    assert len(fleet.sent) - before >= 0.6 * 20.0 * 4.0
+    assert fleet.most_in_window() <= fleet.allowed
+
+
+def test_an_unused_share_does_not_accumulate():
+    fleet = Fleet(domains=6, hosts=11, limit_per_s=4.0)
+    fleet.now = 600.0
+    fleet.run(WINDOW_S)
+    assert len(fleet.sent) <= fleet.allowed
+
+
+def test_a_leaving_host_sends_nothing_to_limited_targets():
+    admission = LimitAdmission("h0", "d0", ("d0",))
+    admission.set_domain_hosts([], now=0.0)
+    assert not admission.admits("t0", Limit(100.0, since=0.0), 60.0)
+
+
+@given(st.data())
+@settings(max_examples=60, deadline=None)
+def test_the_limit_holds_while_hosts_die_pause_and_return(data):
+    limit_per_s = data.draw(st.sampled_from([0.5, 2.0, 5.0, 20.0]))
+    fleet = Fleet(
+        domains=data.draw(st.integers(1, 6)),
+        hosts=data.draw(st.integers(1, 12)),
+        limit_per_s=limit_per_s,
+    )
+    for _ in range(data.draw(st.integers(1, 8))):
+        host = data.draw(st.sampled_from(sorted_hosts(fleet)))
+        if host.gone_since is None:
+            fleet.stop(host)
+        elif data.draw(st.booleans()):
+            fleet.resume(host)
+        else:
+            fleet.restart(host)
+        fleet.run(data.draw(st.sampled_from([0.2, 1.0, 4.0])))
+    fleet.run(4.0)
+    assert not fleet.sent or fleet.most_in_window() <= fleet.allowed
+
+
+def sorted_hosts(fleet):
+    return sorted(fleet.hosts, key=lambda host: host.name)
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 from sardinewheel_gateway.policy.announcements import AnnouncementTable
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
+from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
 from sardinewheel_gateway.policy.placement import (
     Placed,
@@ -28,6 +29,7 @@
         target_table=target_table,
         loads=LoadTable(),
         announcements=AnnouncementTable(),
+        limit_admission=LimitAdmission("host-1", "north-a", ()),
         cold_admission=ColdAdmission("host-1", ColdBound(1.5, 5.0)),
         regions=REGIONS,
         rng=random.Random(7),
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -41,7 +41,7 @@
     rng = random.Random(7)
     created = StoreSync(
         routing_state=RoutingState(
-            host="a", bounds=BOUNDS, regions={}, rng=rng
+            host="a", domain="north-a", bounds=BOUNDS, regions={}, rng=rng
         ),
         gossip=gossip,
         log=gossip.log,
--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -15,6 +15,8 @@
 LIMIT_PER_S = 2.0
 UNLIMITED_S = 1.0
 MIN_SERVED_RATIO = 0.98
+END_KNOWN_S = 4.0
+MIN_SHARE_RATIO = 0.5
 
 
 class Load:
@@ -85,3 +87,18 @@
     assert limit.worst <= limit.allowed
     served = load.statuses.count(200)
     assert served >= MIN_SERVED_RATIO * len(load.statuses)
+
+
+def test_a_target_that_names_no_limit_any_more_gets_its_share_again(group):
+    target = group.targets[0]
+    load = Load(group.gateways)
+    gevent.sleep(UNLIMITED_S)
+    target.limit = NamedLimit(LIMIT_PER_S)
+    gevent.sleep(CONVERGENCE_S)
+    target.limit = None
+    gevent.sleep(END_KNOWN_S)
+    before = len(target.execution_counts)
+    gevent.sleep(WINDOW_S)
+    load.stop()
+    share = WINDOW_S * REQUESTS_PER_S / len(group.targets)
+    assert len(target.execution_counts) - before >= MIN_SHARE_RATIO * share
