Act on targets that announce their leaving, or ask a host to wait

Two more things that targets announce in their answers were read by no host: that they are leaving, and, in a 503, that they want no request of this host for some seconds.

Change: an answer that says so takes a target out of use on this host at once, and on the others by the exchange of announcements; it stays so until it starts again, also if its record goes and comes back, or a later answer does not say it. A 503 with Retry-After pauses the target on this host; hosts extend the pause at random by up to a fifth, so that they do not return at the same moment. Callers are refused at once, with the shortest wait that the targets announced, spread over half a second, when no target may be used: reasons targets-paused and targets-limited.

An answer without the id of its request announces nothing: without this, spoiled answers ended a limit for a moment.

The tests are of new behaviour.

--- a/packages/cli/sardinewheel_cli/request_trace.py
+++ b/packages/cli/sardinewheel_cli/request_trace.py
@@ -52,6 +52,7 @@
     "no-target": "no target of the service was usable",
     "targets-down": "every remaining target had just failed or was cold",
     "targets-limited": "its targets accept a limited rate, which was used up",
+    "targets-paused": "its targets had asked this host to wait",
     "no-route": "no route of the configuration in force allows it",
     "body-too-large": "its body is larger than the configuration allows",
     "unproved answer": "the target's answer could not be proved complete",
--- a/packages/gateway/sardinewheel_gateway/announcement_exchange.py
+++ b/packages/gateway/sardinewheel_gateway/announcement_exchange.py
@@ -6,7 +6,11 @@
 
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.gossip import Gossip
-from sardinewheel_gateway.policy.announcements import Announcement, Report
+from sardinewheel_gateway.policy.announcements import (
+    Announcement,
+    Change,
+    Report,
+)
 from sardinewheel_gateway.policy.heartbeat_recipients import (
     cross_region_recipients,
     same_region_recipients,
@@ -68,18 +72,21 @@
                 self.log.warning(
                     "target-announcement-invalid", target=target_id
                 )
-        elif self.routing_state.record_announcement(
+            return
+        change = self.routing_state.record_announcement(
             target, announcement, now=clock.steady()
-        ):
-            self._log_limit(target_id, announcement.limit_per_s, "response")
+        )
+        if change is not None:
+            self._log_change(target_id, change, "response")
             self._send(is_full=False, is_cross_region=True)
 
     def merge(self, reports: list[Report], name: str) -> None:
         """Applies the reports of another host."""
         now = clock.steady()
         for report in reports:
-            if self.routing_state.merge_announcement(report, now=now):
-                self._log_limit(report.target_id, report.limit_per_s, name)
+            change = self.routing_state.merge_announcement(report, now=now)
+            if change is not None:
+                self._log_change(report.target_id, change, name)
 
     def expire(self) -> None:
         """Drops announcements that no host has seen for long."""
@@ -104,6 +111,13 @@
             recipients += cross_region_recipients(host_table, self.rng)
         self.gossip.send_announcements(reports, recipients)
 
+    def _log_change(self, target_id: str, change: Change, source: str) -> None:
+        before, after = change
+        if after.is_leaving and not before.is_leaving:
+            self.log.info("target-leaving", target=target_id, source=source)
+        if after.limit_per_s != before.limit_per_s:
+            self._log_limit(target_id, after.limit_per_s, source)
+
     def _log_limit(
         self, target_id: str, limit_per_s: float | None, source: str
     ) -> None:
--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -216,6 +216,12 @@
         )
         if not response_info.is_other_target:
             self.on_announcement(placed.target, response_info.announcement)
+        if response_info.pause_s > 0.0:
+            self.log.info(
+                "target-paused",
+                target=record.target_id,
+                pause_s=response_info.pause_s,
+            )
         return Answered(response, response_info, placed, exchange)
 
     def _build_request(
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -169,9 +169,9 @@
         self, placed: Placed, result: AttemptResult, began: float
     ) -> None:
         is_good = isinstance(result, Answered) and result.has_succeeded
-        limit = {}
+        limit_field = {}
         if placed.limit is not None:
-            limit["limit_per_s"] = placed.limit.per_s
+            limit_field["limit_per_s"] = placed.limit.per_s
         (self.log.request if is_good else self.log.info)(
             "attempt-ended",
             request=self.request.caller.request_id,
@@ -186,7 +186,7 @@
             waited_s=began - self.exchange.head.received_at,
             took_s=clock.steady() - began,
             left_s=self.request.deadline - clock.steady(),
-            **limit,
+            **limit_field,
         )
 
     def _placement_request(self) -> PlacementRequest:
--- a/packages/gateway/sardinewheel_gateway/platform_adapter.py
+++ b/packages/gateway/sardinewheel_gateway/platform_adapter.py
@@ -32,6 +32,8 @@
         is_other_target: Whether a target other than the named one responded.
         load: Load that the target reported, if any.
         announcement: What the target announces; None if it cannot be read.
+        pause_s: Seconds for which the target wants no requests of this host; 0
+            without such a wish.
     """
 
     is_authentic: bool
@@ -39,6 +41,7 @@
     is_other_target: bool
     load: ReportedLoad | None
     announcement: Announcement | None
+    pause_s: float = 0.0
 
 
 class Lookup(NamedTuple):
--- a/packages/gateway/sardinewheel_gateway/policy/announcements.py
+++ b/packages/gateway/sardinewheel_gateway/policy/announcements.py
@@ -4,6 +4,7 @@
 The one seen last in a response counts, whichever host received it.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -28,9 +29,18 @@
     Attributes:
         limit_per_s: Requests per second that the target accepts from all hosts
             together; None if it names no limit.
+        is_leaving: Whether it is about to leave and wants no new requests.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+class Change(NamedTuple):
+    """A change of what a target announces."""
+
+    before: Announcement
+    after: Announcement
 
 
 class Report(NamedTuple):
@@ -40,12 +50,14 @@
         target_id: Id of the target.
         started_ms: Start of the target's process, see ``TargetRecord``.
         limit_per_s: As in ``Announcement``.
+        is_leaving: As in ``Announcement``.
         age_s: Seconds since a response announced it, as far as known.
     """
 
     target_id: str
     started_ms: int
     limit_per_s: float | None
+    is_leaving: bool
     age_s: float
 
 
@@ -80,8 +92,9 @@
 class AnnouncementTable:
     """Latest announcements of the targets.
 
-    A target that has withdrawn its announcement keeps an entry for a while, so
-    that hosts which missed the withdrawal learn of it.
+    A target that has withdrawn its limit keeps an entry for a while, so that
+    hosts which missed the withdrawal learn of it. A target that is leaving does
+    not come back, except with another start.
 
     Attributes:
         entries: Latest announcement by target id.
@@ -98,17 +111,17 @@
 
     def record(
         self, record: TargetRecord, announcement: Announcement, *, now: float
-    ) -> bool:
-        """Records the announcement of a response; returns whether it is new."""
+    ) -> Change | None:
+        """Records the announcement of a response; returns what changed."""
         known = self.entries.get(record.target_id)
         if known is None and announcement == Announcement():
-            return False
+            return None
         return self._put(record, announcement, seen_at=now, now=now)
 
     def merge(
         self, report: Report, record: TargetRecord | None, *, now: float
-    ) -> bool:
-        """Applies another host's report; returns whether it tells a change.
+    ) -> Change | None:
+        """Applies another host's report; returns what changed.
 
         Args:
             report: The report.
@@ -116,18 +129,18 @@
             now: Seconds of the monotonic clock.
         """
         if record is None or record.started_ms != report.started_ms:
-            return False
+            return None
         if not 0.0 <= report.age_s <= MAX_REPORTED_AGE_S:
-            return False
+            return None
         known = self.entries.get(report.target_id)
         seen_at = now - report.age_s
-        if (
-            known is not None
-            and known.started_ms == report.started_ms
-            and seen_at < known.seen_at + MIN_LEAD_S
-        ):
-            return False
-        announcement = Announcement(report.limit_per_s)
+        announcement = Announcement(report.limit_per_s, report.is_leaving)
+        if known is not None and seen_at < known.seen_at + MIN_LEAD_S:
+            if not report.is_leaving:
+                return None
+            # Leaving is final, so it counts even if it was seen earlier.
+            announcement = known.announcement._replace(is_leaving=True)
+            seen_at = known.seen_at
         return self._put(record, announcement, seen_at=seen_at, now=now)
 
     def take_reports(self, *, now: float, only_news: bool) -> list[Report]:
@@ -192,10 +205,12 @@
         *,
         seen_at: float,
         now: float,
-    ) -> bool:
+    ) -> Change | None:
         target_id = record.target_id
         known = self.entries.get(target_id)
         before = Announcement() if known is None else known.announcement
+        if before.is_leaving:
+            announcement = announcement._replace(is_leaving=True)
         is_new = announcement != before
         changed_at = now if is_new or known is None else known.changed_at
         self.entries[target_id] = Entry(
@@ -206,7 +221,7 @@
         else:
             limit = Limit(announcement.limit_per_s, changed_at)
             self.limits[target_id] = limit
-        return is_new
+        return Change(before, announcement) if is_new else None
 
     def _report(self, target_id: str, now: float) -> Report:
         entry = self.entries[target_id]
@@ -214,6 +229,7 @@
             target_id,
             entry.started_ms,
             entry.announcement.limit_per_s,
+            entry.announcement.is_leaving,
             max(0.0, now - entry.seen_at),
         )
 
@@ -228,10 +244,13 @@
 
     Raises:
         TypeError: The lists do not encode reports.
-        ValueError: A limit is negative.
+        ValueError: A limit is no rate.
     """
     reports = [Report(*fields) for fields in plain]
     for report in reports:
-        if report.limit_per_s is not None and not report.limit_per_s >= 0.0:
-            raise ValueError(f"limit {report.limit_per_s!r} of a target")
+        limit_per_s = report.limit_per_s
+        if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
+            raise ValueError(f"limit {limit_per_s!r} of a target")
+        if not isinstance(report.is_leaving, bool):
+            raise ValueError(f"is_leaving {report.is_leaving!r} of a target")
     return reports
--- a/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
+++ b/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
@@ -73,7 +73,7 @@
         if self.share.rate_per_s <= 0.0:
             return MAX_WAIT_S
         available_at = self.updated_at + missing / self.share.rate_per_s
-        return min(MAX_WAIT_S, available_at - now)
+        return max(0.0, min(MAX_WAIT_S, available_at - now))
 
 
 class LimitAdmission:
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -35,6 +35,7 @@
         error_share: Moving average of the share of errors among its
             responses.
         last_response_at: Time of its last response.
+        paused_until: Time until which it wants no requests of this host.
     """
 
     def __init__(self):
@@ -45,6 +46,7 @@
         self.failures = 0
         self.error_share = 0.0
         self.last_response_at = float("-inf")
+        self.paused_until = float("-inf")
 
     def record_load_report(self, load: ReportedLoad, *, now: float) -> None:
         """Records a load report.
@@ -78,6 +80,14 @@
         self.retry_at = float("-inf")
         self.error_share += ERROR_SHARE_WEIGHT * (is_error - self.error_share)
 
+    def record_pause(self, pause_s: float, *, now: float) -> None:
+        """Records that the target wants no requests for some time."""
+        self.paused_until = max(self.paused_until, now + pause_s)
+
+    def pause_left_s(self, now: float) -> float:
+        """Returns the seconds until the target wants requests again."""
+        return max(0.0, self.paused_until - now)
+
     def is_down(self, now: float) -> bool:
         """Returns whether the target must not be used now.
 
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -31,6 +31,8 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
 RETRY_AFTER_JITTER = 0.5
+# Time over which callers return that wait for the same target.
+RETURN_SPREAD_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
 MAX_LOAD_AGE_S = 999.0
 MAX_CACHED_USABLE = 64
@@ -80,9 +82,9 @@
     """A refusal of a request that no target has executed.
 
     Attributes:
-        reason: ``no-target``, ``targets-down``, ``targets-limited`` or
-            ``overload`` from the placer; other reasons come from the attempts
-            and their limits.
+        reason: ``no-target``, ``targets-down``, ``targets-limited``,
+            ``targets-paused`` or ``overload`` from the placer; other reasons
+            come from the attempts and their limits.
         retry_after_s: Seconds after which the caller may retry.
         load: Load of the best target divided by its slots; 0 without one.
     """
@@ -176,16 +178,27 @@
     def _refuse_without_candidates(
         self, usable: UsableTargets, now: float
     ) -> Refused:
-        waits_s = [
-            self.limit_admission.wait_s(target_id, limit, now)
-            for target_id in usable.ids
-            if (limit := self.announcements.limits.get(target_id)) is not None
-        ]
-        if waits_s:
-            wait_s = self._retry_after_s(min(waits_s))
-            return Refused("targets-limited", wait_s)
-        wait_s = self._retry_after_s(NO_TARGET_RETRY_AFTER_S)
-        return Refused("targets-down", wait_s)
+        """Returns the refusal of a request that no target may receive now."""
+        waiting = [self._announced_wait(x, now) for x in usable.ids]
+        refusals = [refused for refused in waiting if refused is not None]
+        if not refusals:
+            wait_s = self._retry_after_s(NO_TARGET_RETRY_AFTER_S)
+            return Refused("targets-down", wait_s)
+        shortest = min(refusals, key=lambda refused: refused.retry_after_s)
+        wait_s = max(MIN_RETRY_AFTER_S, shortest.retry_after_s)
+        wait_s += RETURN_SPREAD_S * self.rng.random()
+        return shortest._replace(retry_after_s=wait_s)
+
+    def _announced_wait(self, target_id: str, now: float) -> Refused | None:
+        """Returns the refusal that a target has announced, if any."""
+        pause_s = self.loads.of(target_id).pause_left_s(now)
+        if pause_s:
+            return Refused("targets-paused", pause_s)
+        limit = self.announcements.limits.get(target_id)
+        if limit is None:
+            return None
+        wait_s = self.limit_admission.wait_s(target_id, limit, now)
+        return Refused("targets-limited", wait_s)
 
     def _usable(self, request: PlacementRequest) -> UsableTargets:
         source = self.target_table.usable(request.service)
@@ -246,6 +259,8 @@
             load = self.loads.of(target_id)
             if target_id in request.tried or load.is_down(now):
                 continue
+            if load.pause_left_s(now):
+                continue
             if load.error_share > ERROR_SHARE_LIMIT and rank == 0:
                 continue
             if not self._admits_cold(target, now):
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -6,6 +6,7 @@
 from sardinewheel_gateway.policy.announcements import (
     Announcement,
     AnnouncementTable,
+    Change,
     Report,
 )
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
@@ -21,6 +22,10 @@
 )
 from sardinewheel_gateway.policy.targets import Target, TargetTable
 
+# Part of a pause by which hosts extend it at random, so that they do not return
+# to the target all at once.
+PAUSE_SPREAD = 0.2
+
 
 class Bounds(NamedTuple):
     """Bounds that apply to all hosts together."""
@@ -36,11 +41,13 @@
         was_executed: Whether the target may have executed the request.
         is_other_target: Whether a target other than the named one responded.
         load: Load that the target reported, if any.
+        pause_s: Seconds for which the target wants no requests of this host.
     """
 
     was_executed: bool
     is_other_target: bool
     load: ReportedLoad | None
+    pause_s: float = 0.0
 
 
 class RoutingState:
@@ -60,6 +67,7 @@
         lowest_priorities: Lowest priority (highest number) of the routes of
             each service.
         hosts: Number of hosts that share the bounds.
+        rng: Source of the spread of pauses.
     """
 
     def __init__(
@@ -72,6 +80,7 @@
         rng: random.Random,
     ):
         self.bounds = bounds
+        self.rng = rng
         self.configuration: Configuration | None = None
         self.route_table = RouteTable(())
         self.splits = SplitChooser()
@@ -152,25 +161,33 @@
         load.record_response(is_error=is_error, now=now)
         if response.load is not None:
             load.record_load_report(response.load, now=now)
+        if response.pause_s > 0.0:
+            spread = 1.0 + PAUSE_SPREAD * self.rng.random()
+            load.record_pause(response.pause_s * spread, now=now)
 
     def record_announcement(
         self, target: Target, announcement: Announcement, *, now: float
-    ) -> bool:
-        """Records what a response announces; returns whether it is new."""
+    ) -> Change | None:
+        """Records what a response announces; returns what changed."""
         known = self.target_table.targets.get(target.record.target_id)
+        if announcement.is_leaving:
+            self.target_table.mark_leaving(target.record)
         if known is not target:
-            return False
-        is_new = self.announcements.record(target.record, announcement, now=now)
-        self._drop_ended_limit(target.record.target_id)
-        return is_new
-
-    def merge_announcement(self, report: Report, *, now: float) -> bool:
-        """Applies another host's report; returns whether it tells a change."""
+            return None
+        change = self.announcements.record(target.record, announcement, now=now)
+        self._apply_announcement(target, announcement)
+        return change
+
+    def merge_announcement(
+        self, report: Report, *, now: float
+    ) -> Change | None:
+        """Applies another host's report; returns what changed."""
         target = self.target_table.targets.get(report.target_id)
         record = None if target is None else target.record
-        is_new = self.announcements.merge(report, record, now=now)
-        self._drop_ended_limit(report.target_id)
-        return is_new
+        change = self.announcements.merge(report, record, now=now)
+        if target is not None and change is not None:
+            self._apply_announcement(target, change.after)
+        return change
 
     def expire_announcements(self, *, now: float) -> list[str]:
         """Drops old announcements; returns the targets that had a limit."""
@@ -211,9 +228,13 @@
         self.limit_admission.forget(target_id)
         self.cold_admission.forget(target_id)
 
-    def _drop_ended_limit(self, target_id: str) -> None:
-        if target_id not in self.announcements.limits:
-            self.limit_admission.forget(target_id)
+    def _apply_announcement(
+        self, target: Target, announcement: Announcement
+    ) -> None:
+        if announcement.limit_per_s is None:
+            self.limit_admission.forget(target.record.target_id)
+        if announcement.is_leaving:
+            self.target_table.mark_leaving(target.record)
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -8,6 +8,7 @@
 
 MISSING_RECORD_GRACE_S = 2.2
 MIN_EXPIRING_OUTAGE_S = 2.0
+MAX_LEAVING = 2000
 
 
 class TargetRecord(NamedTuple):
@@ -87,6 +88,8 @@
         recovered_at: Time at which the registry last recovered from an outage.
         last_outage_s: Duration of that outage in seconds.
         usable_cache: Revision and usable targets by service.
+        leaving: Start of the process of each target that announced that it is
+            leaving, by target id. Kept if its record goes and comes back.
     """
 
     def __init__(self):
@@ -98,6 +101,7 @@
         self.last_outage_s = 0.0
         self.usable_cache: dict[str, tuple[int, list[Target]]] = {}
         self.cold_periods_s: dict[str, float] = {}
+        self.leaving: dict[str, int] = {}
 
     def put(self, record: TargetRecord, *, now: float) -> TargetChange | None:
         """Adds or updates a target from its record; returns what changed."""
@@ -158,6 +162,16 @@
             self.recovered_at = now
             self.last_outage_s = away_s
 
+    def mark_leaving(self, record: TargetRecord) -> None:
+        """Uses a target no more until it starts again."""
+        if self._is_leaving(record):
+            return
+        self.leaving.pop(record.target_id, None)
+        self.leaving[record.target_id] = record.started_ms
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        self.revision += 1
+
     def recent_outage_s(self, *, now: float) -> float:
         """Returns the duration of an outage that ended recently, else 0."""
         return 0.0 if self._has_no_recent_outage(now) else self.last_outage_s
@@ -198,12 +212,16 @@
             for target in self.targets.values()
             if target.record.service == service
             and not target.record.is_draining
+            and not self._is_leaving(target.record)
             and target.record.domain not in self.evacuated
         ]
         found.sort(key=lambda target: target.record.target_id)
         self.usable_cache[service] = (self.revision, found)
         return found
 
+    def _is_leaving(self, record: TargetRecord) -> bool:
+        return self.leaving.get(record.target_id) == record.started_ms
+
     def _has_no_recent_outage(self, now: float) -> bool:
         return (
             self.recovered_at is None
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -80,6 +80,7 @@
             is_other_target=status == 421,
             load=ReportedLoad(1, 0, 3),
             announcement=_announcement(headers),
+            pause_s=float(header_value(headers, b"retry-after") or 0.0),
         )
 
     def local_response_headers(self, headers):
@@ -89,8 +90,9 @@
 def _announcement(headers):
     """Returns the parsed announcement; None if the limit is not a number."""
     limit = header_value(headers, b"x-limit")
+    is_leaving = header_value(headers, b"x-leaving") is not None
     try:
-        return Announcement(limit and float(limit))
+        return Announcement(limit and float(limit), is_leaving)
     except ValueError:
         return None
 
--- a/tests/gateway/policy/test_announcements.py
+++ b/tests/gateway/policy/test_announcements.py
@@ -27,8 +27,10 @@
     return {key: limit.per_s for key, limit in table.limits.items()}
 
 
-def report(limit_per_s, *, age_s, started_ms=1000, target_id="t0"):
-    return Report(target_id, started_ms, limit_per_s, age_s)
+def report(
+    limit_per_s, *, age_s, started_ms=1000, target_id="t0", is_leaving=False
+):
+    return Report(target_id, started_ms, limit_per_s, is_leaving, age_s)
 
 
 def test_only_changes_are_news(table):
@@ -92,7 +94,7 @@
     table.record(record("t0"), Announcement(2.0), now=0.0)
     table.record(record("t0"), NO_LIMIT, now=1.0)
     reports = table.take_reports(now=1.5, only_news=True)
-    assert reports == [Report("t0", 1000, None, 0.5)]
+    assert reports == [Report("t0", 1000, None, False, 0.5)]
 
 
 def test_an_entry_without_news_is_reported_in_full_rounds_only(table):
@@ -142,7 +144,29 @@
     assert from_plain(to_plain(reports)) == reports
 
 
-@pytest.mark.parametrize("limit", [-1.0, float("nan"), "2"])
+@pytest.mark.parametrize("limit", [-1.0, float("nan"), float("inf"), "2"])
 def test_an_encoded_limit_that_is_no_rate_is_refused(limit):
     with pytest.raises((ValueError, TypeError)):
-        from_plain([["t0", 1000, limit, 0.0]])
+        from_plain([["t0", 1000, limit, False, 0.0]])
+
+
+def test_a_leaving_target_stays_so_whatever_its_last_responses_say(table):
+    leaving = Announcement(is_leaving=True)
+    change = table.record(record("t0"), leaving, now=0.0)
+    assert change == (NO_LIMIT, leaving)
+    assert table.record(record("t0"), NO_LIMIT, now=0.1) is None
+    assert table.merge(report(None, age_s=0.0), record("t0"), now=1.0) is None
+    assert table.take_reports(now=1.0, only_news=True)[0].is_leaving
+
+
+def test_a_leaving_that_was_seen_earlier_counts(table):
+    table.record(record("t0"), Announcement(2.0), now=1.0)
+    other = report(None, age_s=0.5, is_leaving=True)
+    change = table.merge(other, record("t0"), now=1.2)
+    assert change.after == Announcement(2.0, is_leaving=True)
+
+
+def test_a_reported_leaving_is_known(table):
+    other = report(None, age_s=0.1, is_leaving=True)
+    change = table.merge(other, record("t0"), now=1.0)
+    assert change.after.is_leaving
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -105,18 +105,23 @@
 
 
 @pytest.mark.parametrize(
-    ("values", "announcement"),
+    ("values", "limit_per_s"),
     [
-        ([], (None,)),
-        ([b"2.7"], (2.7,)),
-        ([b"0"], (0.0,)),
-        ([b" 12 "], (12.0,)),
-        ([b"3", b"3"], (3.0,)),
+        ([], None),
+        ([b"2.7"], 2.7),
+        ([b"0"], 0.0),
+        ([b" 12 "], 12.0),
+        ([b"3", b"3"], 3.0),
+        ([b"2.6999999999999997"], 2.6999999999999997),
+        ([b"4."], 4.0),
+        ([b".5"], 0.5),
     ],
 )
-def test_announced_limit_is_decoded(values, announcement):
-    headers = [(b"server-limit", value) for value in values]
-    assert ADAPTER.response_info(200, headers).announcement == announcement
+def test_announced_limit_is_decoded(values, limit_per_s):
+    headers = [(ATTEMPT_ID, b"9c41")]
+    headers += [(b"server-limit", value) for value in values]
+    announcement = ADAPTER.response_info(200, headers).announcement
+    assert announcement == (limit_per_s, False)
 
 
 @pytest.mark.parametrize(
@@ -128,10 +133,54 @@
         [b"nan"],
         [b"inf"],
         [b"1e3"],
+        [b"."],
+        [b"1" + b"." + b"0" * 400],
         [b"9" * 400],
         [b"2", b"3"],
     ],
 )
 def test_unreadable_limit_is_not_taken_for_no_limit(values):
-    headers = [(b"server-limit", value) for value in values]
+    headers = [(ATTEMPT_ID, b"9c41")]
+    headers += [(b"server-limit", value) for value in values]
+    assert ADAPTER.response_info(200, headers).announcement is None
+
+
+@pytest.mark.parametrize(
+    ("values", "announcement"),
+    [
+        ([b"1"], (None, True)),
+        ([b"0"], (None, False)),
+        ([b"yes"], None),
+        ([b""], None),
+        ([b"0", b"1"], None),
+    ],
+)
+def test_announced_leaving_is_decoded(values, announcement):
+    headers = [(ATTEMPT_ID, b"9c41")]
+    headers += [(b"server-leaving", value) for value in values]
+    assert ADAPTER.response_info(200, headers).announcement == announcement
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "pause_s"),
+    [
+        (503, [b"2.5"], 2.5),
+        (503, [b"1.8734523452345234"], 1.8734523452345234),
+        (503, [b"1", b"3"], 3.0),
+        (503, [], 0.0),
+        (503, [b"-1"], 0.0),
+        (503, [b"soon"], 0.0),
+        (503, [b"9" * 400], 0.0),
+        (200, [b"2"], 0.0),
+        (421, [b"2"], 0.0),
+    ],
+)
+def test_pause_of_a_refusing_target_is_decoded(status, values, pause_s):
+    headers = [(b"retry-after", value) for value in values]
+    assert ADAPTER.response_info(status, headers).pause_s == pause_s
+
+
+def test_a_response_without_the_id_of_its_request_announces_nothing():
+    assert ADAPTER.response_info(200, []).announcement is None
+    headers = [(b"server-limit", b"2")]
     assert ADAPTER.response_info(200, headers).announcement is None
