Let the targets of the soak name limits, leave and ask for pauses

Three more kinds of faults, with invariants from what targets see: the rate of all told hosts together, no request later than the drain deadline after a host was told of leaving, at most two in a pause. Hosts that were restarted, paused or killed are left out until they are told again.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -146,9 +146,9 @@
             ``extra`` (sends the response twice) or ``half`` (truncates it).
         on_request: Called with this target and the id of each request.
         silenced: Connections whose requests are ignored.
-        limit: ``NamedLimit`` that it names in its responses, if any.
-        on_limit_exceeded: Called with this target and the id of a request
-            beyond what the limit allows.
+        announced: What it announces in its responses, if anything.
+        on_ignored: Called with this target, the id of a request that ignores
+            what was announced, and a description.
     """
 
     def __init__(
@@ -162,8 +162,8 @@
         self.service = service
         self.rng = rng
         self.fault = ""
-        self.limit = None
-        self.on_limit_exceeded = lambda *_: None
+        self.announced = None
+        self.on_ignored = lambda *_: None
         self.running = 0
         self.connections = set()
         self.silenced = set()
@@ -231,7 +231,8 @@
                 continue
             self._record_arrival(request_id)
             fault = self.fault if self.rng.random() < 0.3 else ""
-            if fault == "shed" or self.running >= SLOTS * 4:
+            is_refusing = self.announced is not None and self.announced.refuses
+            if fault == "shed" or is_refusing or self.running >= SLOTS * 4:
                 extra_headers = "Sardinewheel-Not-Executed: 1\r\n"
                 self._send(sock, request_id, 503, b"", extra_headers)
                 continue
@@ -241,17 +242,21 @@
                 return
 
     def _record_arrival(self, request_id):
-        """Counts a request against the limit, if this target names one."""
-        if self.limit is not None and self.limit.record_arrival(
+        """Checks a request against what this target announces."""
+        if self.announced is None:
+            return
+        finding = self.announced.record_arrival(
             host_number(request_id), time.monotonic()
-        ):
-            self.on_limit_exceeded(self, request_id)
+        )
+        if finding is not None:
+            self.on_ignored(self, request_id, finding)
 
-    def _limit_header(self, request_id):
-        if self.limit is None:
+    def _announcing_headers(self, request_id):
+        if self.announced is None:
             return ""
-        self.limit.record_response(host_number(request_id), time.monotonic())
-        return f"Server-Limit: {self.limit.limit_per_s}\r\n"
+        host = host_number(request_id)
+        self.announced.record_response(host, time.monotonic())
+        return self.announced.headers
 
     def _execute(self, sock, request_id, fault):
         self.execution_counts[request_id] = (
@@ -284,7 +289,7 @@
         head = (
             f"HTTP/1.1 {status} X\r\nSardinewheel-Attempt-Id: {request_id}\r\n"
             f"{seal}{extra_headers}Sardinewheel-Server-Load: {load}\r\n"
-            f"{self._limit_header(request_id)}"
+            f"{self._announcing_headers(request_id)}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         data = head.encode() + body
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -6,6 +6,7 @@
 import gevent
 
 from tests.platform.soak import callers
+from tests.platform.soak.announced import Leaving, NamedLimit, Pause
 from tests.platform.soak.invariants import STORE_RECOVERY_S
 from tests.platform.soak.operators import probe_path
 
@@ -58,6 +59,9 @@
             self.crash_target,
             self.inject_target_fault,
             self.silence_target_connections,
+            self.name_limit,
+            self.announce_leaving,
+            self.ask_to_wait,
         ]
         self.phase_faults = self.fault_kinds
         self.phase_ends_at = 0.0
@@ -196,6 +200,26 @@
         """Makes a target ignore its open connections; new ones work."""
         self.rng.choice(self.soak.targets).silence_open_connections()
 
+    def name_limit(self):
+        """Lets a target name a limit for some time."""
+        limit_per_s = self.rng.choice([0, 0.5, 2, 5, 20])
+        limit = NamedLimit(limit_per_s, is_excused=self._is_disturbed)
+        self._announce(limit, self.rng.uniform(1.0, 8.0))
+
+    def ask_to_wait(self):
+        """Lets a target refuse all requests and ask each host to wait."""
+        pause_s = self.rng.uniform(0.5, 3.0)
+        pause = Pause(pause_s, is_excused=self._is_disturbed)
+        self._announce(pause, self.rng.uniform(0.5, 4.0))
+
+    def announce_leaving(self):
+        """Lets a target announce that it leaves, and restarts it."""
+        leaving = Leaving(is_excused=self._is_disturbed)
+        target = self._announce(leaving, self.rng.uniform(4.0, 8.0))
+        if target is not None:
+            target.crash()
+            self.soak.start_target(target)
+
     def change_configuration(self):
         """Writes a new version; undisturbed gateways must apply it in time."""
         operators = self.soak.operators
@@ -220,6 +244,19 @@
         gevent.sleep(self.rng.uniform(1.0, 7.0))
         operators.end_evacuation(domain)
 
+    def _announce(self, announced, seconds):
+        """Lets a target announce something; returns the target, if any."""
+        target = self.rng.choice(self.soak.targets)
+        if target.announced is not None:
+            return None
+        target.announced = announced
+        gevent.sleep(seconds)
+        target.announced = None
+        return target
+
+    def _is_disturbed(self, number):
+        return self.soak.gateways[number].is_disturbed
+
     def _kill(self, gateway):
         gateway.mark_disturbed(START_TOLERANCE_S)
         gateway.terminate(signal.SIGKILL)
--- a/tests/platform/soak/invariants.py
+++ b/tests/platform/soak/invariants.py
@@ -13,6 +13,7 @@
 DRAIN_DEADLINE_S = 2.5
 EVACUATION_DEADLINE_S = 5.0
 STORE_RECOVERY_S = 4.0
+ANNOUNCEMENT_WINDOW_S = 4.5
 MIN_POST_FAULT_SUCCESS_RATIO = 0.9
 MIN_POST_FAULT_REQUESTS = 200
 STALL_CHECK_INTERVAL_S = 0.05
@@ -138,6 +139,17 @@
                     f"after it {reason}"
                 )
 
+    def check_announcement(self, target, request_id, gateway, finding):
+        """Records a request that ignores what its target announced.
+
+        Requests that a stall of the test process, or a gateway's wait for a
+        processor, delivered late are left out.
+        """
+        now = time.monotonic()
+        stalls = self.stalls + gateway.cpu_waits
+        if not _overlaps(stalls, now - ANNOUNCEMENT_WINDOW_S, now):
+            self.record_violation(f"{request_id} at {target.name}: {finding}")
+
     def check_response(self, call, response):
         """Checks the response to a caller's request.
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -68,6 +68,8 @@
             )
             for n in range(targets)
         ]
+        for target in self.targets:
+            target.on_ignored = self._on_ignored_announcement
         self.gateways = [
             GatewayProcess(
                 n,
@@ -133,6 +135,10 @@
             target, request_id, gateway, self.operators.evacuated
         )
 
+    def _on_ignored_announcement(self, target, request_id, finding):
+        gateway = self.gateways[host_number(request_id)]
+        self.checker.check_announcement(target, request_id, gateway, finding)
+
     def _wait_until_ready(self):
         deadline = time.monotonic() + START_TIMEOUT_S
         while not all(g.is_ready() for g in self.gateways):
@@ -165,6 +171,7 @@
                 gateway.start()
         for target in self.targets:
             target.fault = ""
+            target.announced = None
             self.start_target(target)
         gevent.sleep(SETTLE_S)
         self.callers.are_faults_over = True
--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -7,8 +7,8 @@
 from sardinewheel_gateway.policy.limit_admission import TAKEOVER_WAIT_S
 
 from tests.platform.fakes import Target
+from tests.platform.soak.announced import CONVERGENCE_S, WINDOW_S, NamedLimit
 from tests.platform.soak.callers import connect, exchange, request
-from tests.platform.soak.limits import CONVERGENCE_S, WINDOW_S, NamedLimit
 
 DOMAINS = ("north-a", "north-a", "north-b", "east-a", "east-a", "east-b")
 REQUESTS_PER_S = 24.0
@@ -82,7 +82,7 @@
     limit = NamedLimit(LIMIT_PER_S)
     load = Load(group.gateways)
     gevent.sleep(UNLIMITED_S)
-    group.targets[0].limit = limit
+    group.targets[0].announced = limit
     gevent.sleep(CONVERGENCE_S + 1.5 * WINDOW_S)
     load.stop()
     assert limit.worst <= limit.allowed
@@ -94,7 +94,7 @@
     load = Load(group.gateways)
     gevent.sleep(UNLIMITED_S + TAKEOVER_WAIT_S)
     for target in group.targets:
-        target.limit = NamedLimit(REQUESTS_PER_S)
+        target.announced = NamedLimit(REQUESTS_PER_S)
     gevent.sleep(2 * CONVERGENCE_S)
     load.stop()
     served = load.statuses.count(200)
@@ -105,9 +105,9 @@
     target = group.targets[0]
     load = Load(group.gateways)
     gevent.sleep(UNLIMITED_S)
-    target.limit = NamedLimit(LIMIT_PER_S)
+    target.announced = NamedLimit(LIMIT_PER_S)
     gevent.sleep(CONVERGENCE_S)
-    target.limit = None
+    target.announced = None
     gevent.sleep(END_KNOWN_S)
     before = len(target.execution_counts)
     gevent.sleep(WINDOW_S)
