Use spare targets in the object's order, and keep permits for urgent requests

Cause: a request without a permit at its object's two targets went to a random one, which did not have the object, so it took three times as long and was late. Permits went to whoever asked first.

Change: spare targets are tried in the object's order, so that overflow reaches the same ones; a loaded one is passed over. Half of a share's burst, beyond one request, is kept for urgent requests.

The test of the urgent kind fails on the code before.

--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -38,7 +38,7 @@
     from sardinewheel_gateway.forwarder import Forwarder
 
 MAX_CONNECT_FAILURES = 3
-MAX_PERMIT_REFUSALS = 3
+MAX_PERMIT_REFUSALS = 4
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 MIN_ATTEMPT_S = 0.05
 STREAM_MARGIN_S = 5.0
@@ -95,6 +95,11 @@
         """Route of the request."""
         return self.request.route
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether its service also has routes of a lower priority."""
+        return self.routing_state.is_urgent(self.route, self.service)
+
     @property
     def age_s(self) -> float:
         """Seconds since the request's head was complete."""
@@ -149,7 +154,7 @@
         """Returns whether the limit of the target, if any, admits a request."""
         target_id = placed.target.record.target_id
         if placed.limit is None or self.forwarder.permits.acquire(
-            target_id, placed.limit
+            target_id, placed.limit, is_urgent=self.is_urgent
         ):
             return True
         self.without_permit.append(target_id)
@@ -195,7 +200,7 @@
             service=self.service,
             route=self.route,
             object_key=key if self.route.has_affinity else "",
-            is_urgent=self.routing_state.is_urgent(self.route, self.service),
+            is_urgent=self.is_urgent,
             tried=frozenset(
                 (*self.tried, *self.unreachable, *self.without_permit)
             ),
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -48,11 +48,13 @@
     Attributes:
         address: ``host:port`` to respond to.
         number: Number of the request at the asking host.
+        is_urgent: Whether it is for a request of a high priority.
         report: What the asking host knows of the limited target.
     """
 
     address: str
     number: int
+    is_urgent: bool
     report: Report
 
 
@@ -173,12 +175,12 @@
             self._send(host.gossip, data)
 
     def send_permit_request(
-        self, holder: HostState, number: int, report: Report
+        self, holder: HostState, request: PermitRequest
     ) -> None:
         """Asks the holder of a share for a permit."""
+        *fields, report = request
         plain = announcements.to_plain([report])
-        address = self.host_table.own.gossip
-        data = cbor2.dumps([PERMIT_REQUEST, address, number, plain])
+        data = cbor2.dumps([PERMIT_REQUEST, *fields, plain])
         self._send(holder.gossip, data)
 
     def send_permit(self, address: str, permit: Permit) -> None:
@@ -226,9 +228,9 @@
             _, name, plain = message
             self.on_announcements(announcements.from_plain(plain), name)
         elif kind == PERMIT_REQUEST:
-            _, address, number, plain = message
+            _, *fields, plain = message
             (report,) = announcements.from_plain(plain)
-            self.on_permit_request(PermitRequest(address, number, report))
+            self.on_permit_request(PermitRequest(*fields, report))
         elif kind == PERMIT:
             _, number, wait_s = message
             self.on_permit(Permit(number, wait_s))
--- a/packages/gateway/sardinewheel_gateway/limit_permits.py
+++ b/packages/gateway/sardinewheel_gateway/limit_permits.py
@@ -34,10 +34,10 @@
         gossip.on_permit_request = self.handle_request
         gossip.on_permit = self.handle_permit
 
-    def acquire(self, target_id: str, limit: Limit) -> bool:
+    def acquire(self, target_id: str, limit: Limit, *, is_urgent: bool) -> bool:
         """Returns whether one request may be sent to a limited target now."""
         return any(
-            self._acquire_from(holder, target_id, limit)
+            self._acquire_from(holder, target_id, limit, is_urgent)
             for holder in self.admission.holders(target_id)
         )
 
@@ -49,7 +49,9 @@
         limit = self.routing_state.announcements.limits.get(report.target_id)
         wait_s = MAX_WAIT_S
         if limit is not None:
-            wait_s = self.admission.take(report.target_id, limit, now)
+            wait_s = self.admission.take(
+                report.target_id, limit, now, is_urgent=request.is_urgent
+            )
         self.gossip.send_permit(request.address, Permit(request.number, wait_s))
 
     def handle_permit(self, permit: Permit) -> None:
@@ -58,23 +60,36 @@
         if result is not None:
             result.set(permit.wait_s)
 
-    def _acquire_from(self, holder: str, target_id: str, limit: Limit) -> bool:
+    def _acquire_from(
+        self, holder: str, target_id: str, limit: Limit, is_urgent: bool
+    ) -> bool:
         now = clock.steady()
         if holder == self.gossip.host_table.own.name:
-            return self.admission.take(target_id, limit, now) == 0.0
-        if not self.admission.may_ask(holder, target_id, now):
+            wait_s = self.admission.take(
+                target_id, limit, now, is_urgent=is_urgent
+            )
+            return wait_s == 0.0
+        if self.admission.ask_wait_s(
+            holder, target_id, now, is_urgent=is_urgent
+        ):
             return False
-        wait_s = self._ask(holder, target_id)
+        wait_s = self._ask(holder, target_id, is_urgent)
         if wait_s is None:
             self.admission.record_silence(holder, now=clock.steady())
             return False
         if wait_s > 0.0:
             self.admission.record_refusal(
-                holder, target_id, wait_s=wait_s, now=clock.steady()
+                holder,
+                target_id,
+                is_urgent=is_urgent,
+                wait_s=wait_s,
+                now=clock.steady(),
             )
         return wait_s == 0.0
 
-    def _ask(self, holder: str, target_id: str) -> float | None:
+    def _ask(
+        self, holder: str, target_id: str, is_urgent: bool
+    ) -> float | None:
         """Returns 0 with a permit, or the wait; None without a response."""
         peer = self.gossip.host_table.peers.get(holder)
         report = self.routing_state.announcements.report(
@@ -85,7 +100,9 @@
         number = next(self.numbers)
         result = self.waiting[number] = AsyncResult()
         try:
-            self.gossip.send_permit_request(peer.state, number, report)
+            own_address = self.gossip.host_table.own.gossip
+            request = PermitRequest(own_address, number, is_urgent, report)
+            self.gossip.send_permit_request(peer.state, request)
             return result.get(timeout=PERMIT_TIMEOUT_S)
         except gevent.Timeout:
             return None
--- a/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
+++ b/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
@@ -24,6 +24,8 @@
 # ``BURST_S`` at its rate, and some more. Each domain with a share needs one.
 BURST_S = 1.5
 BURST_REQUESTS = 3.0
+# Part of the burst, beyond one request, that only urgent requests may use.
+URGENT_BURST_PART = 0.5
 # Time after a change of the domain's hosts for which a new holder waits, so
 # that a former one knows it too.
 TAKEOVER_WAIT_S = 2.0
@@ -65,9 +67,15 @@
             self.updated_at = now
         self.share = share
 
-    def wait_s(self, now: float) -> float:
-        """Returns the seconds until the next token; 0 if there is one."""
-        missing = 1.0 - self.tokens
+    def wait_s(self, now: float, *, is_urgent: bool) -> float:
+        """Returns the seconds until the next token; 0 if there is one.
+
+        Part of the burst is reserved for urgent requests.
+        """
+        needed = 1.0
+        if not is_urgent:
+            needed += URGENT_BURST_PART * max(0.0, self.share.burst - 1.0)
+        missing = needed - self.tokens
         if missing <= 0.0:
             return 0.0
         if self.share.rate_per_s <= 0.0:
@@ -90,7 +98,7 @@
             share of.
         known_holders: Cached result of ``holders`` by target id.
         refused_until: Time until which a holder is not asked for a permit, by
-            holder and target id.
+            target id, holder and whether the request is urgent.
         silent_until: Time until which a holder is not asked at all.
     """
 
@@ -102,7 +110,7 @@
         self.settled_at = float("-inf")
         self.buckets: dict[str, TokenBucket] = {}
         self.known_holders: dict[str, list[str]] = {}
-        self.refused_until: dict[tuple[str, str], float] = {}
+        self.refused_until: dict[str, dict[tuple[str, bool], float]] = {}
         self.silent_until: dict[str, float] = {}
 
     def set_hosts(self, hosts: dict[str, list[str]], *, now: float) -> None:
@@ -132,23 +140,32 @@
             self.known_holders[target_id] = holders
         return holders
 
-    def wait_s(self, target_id: str, limit: Limit, now: float) -> float:
+    def wait_s(
+        self, target_id: str, limit: Limit, now: float, *, is_urgent: bool
+    ) -> float:
         """Returns the seconds until a limited target may be tried.
 
         It is 0 if this host has a permit, or may ask a holder for one.
         """
         waits_s = [
-            self._holder_wait_s(holder, target_id, limit, now)
+            self._holder_wait_s(holder, target_id, limit, now, is_urgent)
             for holder in self.holders(target_id)
         ]
         return min(waits_s, default=MAX_WAIT_S)
 
-    def may_ask(self, holder: str, target_id: str, now: float) -> bool:
-        """Returns whether another host may be asked for a permit now."""
-        refused_until = self.refused_until.get((holder, target_id), now)
-        return max(refused_until, self.silent_until.get(holder, now)) <= now
-
-    def take(self, target_id: str, limit: Limit, now: float) -> float:
+    def ask_wait_s(
+        self, holder: str, target_id: str, now: float, *, is_urgent: bool
+    ) -> float:
+        """Returns the seconds until another host may be asked for a permit."""
+        refused_until = self.refused_until.get(target_id, {}).get(
+            (holder, is_urgent), now
+        )
+        silent_until = self.silent_until.get(holder, now)
+        return max(0.0, refused_until - now, silent_until - now)
+
+    def take(
+        self, target_id: str, limit: Limit, now: float, *, is_urgent: bool
+    ) -> float:
         """Takes a permit for one request from the share held here.
 
         Returns:
@@ -158,17 +175,24 @@
         if self.host not in self.holders(target_id):
             return MAX_WAIT_S
         bucket = self._bucket(target_id, limit, now)
-        wait_s = bucket.wait_s(now)
+        wait_s = bucket.wait_s(now, is_urgent=is_urgent)
         if wait_s == 0.0:
             bucket.tokens -= 1.0
         return wait_s
 
     def record_refusal(
-        self, holder: str, target_id: str, *, wait_s: float, now: float
+        self,
+        holder: str,
+        target_id: str,
+        *,
+        is_urgent: bool,
+        wait_s: float,
+        now: float,
     ) -> None:
         """Records that a holder has no permit for some time."""
         until = now + min(MAX_WAIT_S, wait_s)
-        self.refused_until[holder, target_id] = until
+        refused_until = self.refused_until.setdefault(target_id, {})
+        refused_until[holder, is_urgent] = until
 
     def record_silence(self, holder: str, *, now: float) -> None:
         """Records that a holder has not responded."""
@@ -177,18 +201,21 @@
     def forget(self, target_id: str) -> None:
         """Drops the state of a target that has no limit any more."""
         self.buckets.pop(target_id, None)
-        for holder in self.known_holders.pop(target_id, ()):
-            self.refused_until.pop((holder, target_id), None)
+        self.known_holders.pop(target_id, None)
+        self.refused_until.pop(target_id, None)
 
     def _holder_wait_s(
-        self, holder: str, target_id: str, limit: Limit, now: float
+        self,
+        holder: str,
+        target_id: str,
+        limit: Limit,
+        now: float,
+        is_urgent: bool,
     ) -> float:
         if holder == self.host:
-            return self._bucket(target_id, limit, now).wait_s(now)
-        if self.may_ask(holder, target_id, now):
-            return 0.0
-        refused_until = self.refused_until.get((holder, target_id), now)
-        return max(refused_until, self.silent_until.get(holder, now)) - now
+            bucket = self._bucket(target_id, limit, now)
+            return bucket.wait_s(now, is_urgent=is_urgent)
+        return self.ask_wait_s(holder, target_id, now, is_urgent=is_urgent)
 
     def _bucket(self, target_id: str, limit: Limit, now: float) -> TokenBucket:
         """Returns the up-to-date bucket of a share held here."""
--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -76,6 +76,10 @@
         found = self.preferences.get(key)
         return found or _first_two(self._first(key))
 
+    def order(self, key: str) -> list[str]:
+        """Returns the first targets of an object, by rank alone."""
+        return self._first(key)
+
     def add(self, key: str, route: str) -> bool:
         """Adds the use of an object by a route; returns whether it was new."""
         routes = self.routes.setdefault(key, set())
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -162,7 +162,7 @@
             )
         candidates = self._candidates(request, usable, now)
         if not candidates:
-            return self._refuse_without_candidates(usable, now)
+            return self._refuse_without_candidates(request, usable, now)
         first = candidates[0]
         if first.load < SPILLOVER_LOAD or len(candidates) == 1:
             best = first
@@ -176,10 +176,10 @@
         return best
 
     def _refuse_without_candidates(
-        self, usable: UsableTargets, now: float
+        self, request: PlacementRequest, usable: UsableTargets, now: float
     ) -> Refused:
         """Returns the refusal of a request that no target may receive now."""
-        waiting = [self._announced_wait(x, now) for x in usable.ids]
+        waiting = [self._announced_wait(request, x, now) for x in usable.ids]
         refusals = [refused for refused in waiting if refused is not None]
         if not refusals:
             wait_s = self._retry_after_s(NO_TARGET_RETRY_AFTER_S)
@@ -189,7 +189,9 @@
         wait_s += RETURN_SPREAD_S * self.rng.random()
         return shortest._replace(retry_after_s=wait_s)
 
-    def _announced_wait(self, target_id: str, now: float) -> Refused | None:
+    def _announced_wait(
+        self, request: PlacementRequest, target_id: str, now: float
+    ) -> Refused | None:
         """Returns the refusal that a target has announced, if any."""
         pause_s = self.loads.of(target_id).pause_left_s(now)
         if pause_s:
@@ -197,7 +199,9 @@
         limit = self.announcements.limits.get(target_id)
         if limit is None:
             return None
-        wait_s = self.limit_admission.wait_s(target_id, limit, now)
+        wait_s = self.limit_admission.wait_s(
+            target_id, limit, now, is_urgent=request.is_urgent
+        )
         return Refused("targets-limited", wait_s)
 
     def _usable(self, request: PlacementRequest) -> UsableTargets:
@@ -227,11 +231,36 @@
         found = self._available(preferred, usable.by_id, request, now)
         if found:
             return found
+        spare = self._spare(request, usable, preferred, now)
+        return [] if spare is None else [spare._replace(choice="spare")]
+
+    def _spare(
+        self,
+        request: PlacementRequest,
+        usable: UsableTargets,
+        preferred: list[str],
+        now: float,
+    ) -> Placed | None:
+        """Returns the target to use in place of the preferred ones.
+
+        The next ones in the order of the object come first: they have handled
+        it if the preferred ones are unavailable for some time.
+        """
+        order = self._order(request)
+        following = [x for x in order if x not in preferred]
+        for placed in self._available(following, usable.by_id, request, now):
+            if placed.load < SPILLOVER_LOAD:
+                return placed
         rest = [x for x in usable.ids if x not in preferred]
         self.rng.shuffle(rest)
         others = self._available(rest, usable.by_id, request, now)
-        others.sort(key=lambda placed: (placed.limit is not None, placed.load))
-        return [placed._replace(choice="spare") for placed in others[:1]]
+        return min(others, key=lambda placed: placed.load, default=None)
+
+    def _order(self, request: PlacementRequest) -> list[str]:
+        """Returns the first targets in the order of the request's object."""
+        if not request.object_key:
+            return []
+        return self.objects.of(request.service).order(request.object_key)
 
     def _preferred(
         self, request: PlacementRequest, ids: tuple[str, ...]
@@ -267,7 +296,7 @@
                 continue
             limit = self.announcements.limits.get(target_id)
             if limit is not None and self.limit_admission.wait_s(
-                target_id, limit, now
+                target_id, limit, now, is_urgent=request.is_urgent
             ):
                 continue
             relative = load.estimate(now) / max(1, target.record.slots)
--- a/packages/testing/sardinewheel_testing/emulator/dispatch.py
+++ b/packages/testing/sardinewheel_testing/emulator/dispatch.py
@@ -131,6 +131,10 @@
         sampled.sort(key=self._in_flight)
         return Preference(sampled[0], sampled[-1] if len(sampled) > 1 else None)
 
+    def order(self, key: str) -> list[str]:
+        """Returns no targets: there is no order by object."""
+        return []
+
     def _in_flight(self, target_id: str) -> float:
         load = self.loads.of(target_id)
         return load.in_flight + load.others_in_flight
--- a/packages/testing/sardinewheel_testing/emulator/hosts.py
+++ b/packages/testing/sardinewheel_testing/emulator/hosts.py
@@ -175,9 +175,10 @@
         if not holders:
             self._place(attempt, tried, without_permit | {target_id})
             return
+        is_urgent = self.placement_request(attempt, tried).is_urgent
         holder = self.hosts[holders.pop(0)]
-        if holder is not self and not admission.may_ask(
-            holder.name, target_id, now
+        if holder is not self and admission.ask_wait_s(
+            holder.name, target_id, now, is_urgent=is_urgent
         ):
             self._acquire(attempt, placed, tried, without_permit, holders)
             return
@@ -185,13 +186,17 @@
         def on_permit() -> None:
             now = self.scheduler.now
             wait_s = holder.routing_state.limit_admission.take(
-                target_id, placed.limit, now
+                target_id, placed.limit, now, is_urgent=is_urgent
             )
             if wait_s == 0.0:
                 self._send_or_refuse(attempt, placed, tried)
                 return
             admission.record_refusal(
-                holder.name, target_id, wait_s=wait_s, now=now
+                holder.name,
+                target_id,
+                is_urgent=is_urgent,
+                wait_s=wait_s,
+                now=now,
             )
             self._acquire(attempt, placed, tried, without_permit, holders)
 
--- a/tests/gateway/policy/test_limit_admission.py
+++ b/tests/gateway/policy/test_limit_admission.py
@@ -121,18 +121,20 @@
         """Sends a request from a host if it gets a permit."""
         admission = host.admission
         admission.set_hosts(self._known(host), now=self.now)
-        if admission.wait_s("t0", self.limit, self.now):
+        if admission.wait_s("t0", self.limit, self.now, is_urgent=True):
             return
         for name in admission.holders("t0"):
-            if name != host.name and not admission.may_ask(
-                name, "t0", self.now
+            if name != host.name and admission.ask_wait_s(
+                name, "t0", self.now, is_urgent=True
             ):
                 continue
             wait_s = self._ask(name)
             if wait_s == 0.0:
                 self.sent.append(self.now)
                 return
-            admission.record_refusal(name, "t0", wait_s=wait_s, now=self.now)
+            admission.record_refusal(
+                name, "t0", is_urgent=True, wait_s=wait_s, now=self.now
+            )
 
     def _ask(self, name):
         """Takes a permit from a holder; returns the wait without one."""
@@ -140,7 +142,7 @@
         if holder.gone_since is not None:
             return MAX_WAIT_S
         holder.admission.set_hosts(self._known(holder), now=self.now)
-        return holder.admission.take("t0", self.limit, self.now)
+        return holder.admission.take("t0", self.limit, self.now, is_urgent=True)
 
     def _known(self, observer):
         """Returns the hosts of its region that a host counts as live."""
@@ -240,8 +242,23 @@
     admission.set_hosts({"d0": []}, now=0.0)
     limit = Limit(100.0, since=0.0)
     assert admission.holders("t0") == []
-    assert admission.take("t0", limit, 60.0) == MAX_WAIT_S
-    assert admission.wait_s("t0", limit, 60.0) == MAX_WAIT_S
+    assert admission.take("t0", limit, 60.0, is_urgent=True) == MAX_WAIT_S
+    wait_s = admission.wait_s("t0", limit, 60.0, is_urgent=True)
+    assert wait_s == MAX_WAIT_S
+
+
+def test_the_last_permits_of_a_burst_are_for_urgent_requests():
+    admission = LimitAdmission("h0", "d0", ("d0",))
+    admission.set_hosts({"d0": ["h0"]}, now=0.0)
+    limit = Limit(4.0, since=10.0)
+
+    def take(*, is_urgent):
+        return admission.take("t0", limit, 10.0, is_urgent=is_urgent) == 0.0
+
+    normal = [take(is_urgent=False) for _ in range(20)].count(True)
+    urgent = [take(is_urgent=True) for _ in range(20)].count(True)
+    assert normal + urgent == BURST_S * 4.0 + BURST_REQUESTS
+    assert urgent >= 4
 
 
 @given(st.data())
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -159,3 +159,23 @@
         )
         placed += 1
     assert placed == 2
+
+
+def test_spare_targets_are_used_in_the_order_of_the_object():
+    placer = make_placer()
+    first_choice = placer.place(placement_request(), 1.0)
+    order = placer.objects.of("orders").order("k")
+    assert first_choice.target.record.target_id == order[0]
+    for number in range(2, 5):
+        placed = placer.place(placement_request(tried=order[:number]), 1.0)
+        assert placed.target.record.target_id == order[number]
+        assert placed.choice == "spare"
+
+
+def test_a_loaded_spare_target_is_passed_over():
+    placer = make_placer()
+    placer.place(placement_request(), 1.0)
+    order = placer.objects.of("orders").order("k")
+    report_load(placer, order[2], 20)
+    placed = placer.place(placement_request(tried=order[:2]), 1.0)
+    assert placed.target.record.target_id == order[3]
--- a/tests/gateway/test_limit_permits.py
+++ b/tests/gateway/test_limit_permits.py
@@ -50,7 +50,7 @@
     def acquire(self):
         """Returns whether a permit was granted."""
         limit = self.routing_state.announcements.limits["t0"]
-        return self.permits.acquire("t0", limit)
+        return self.permits.acquire("t0", limit, is_urgent=True)
 
     def count_requests(self):
         """Counts the requests for permits from now on."""
--- a/tests/testing/emulator/test_emulation.py
+++ b/tests/testing/emulator/test_emulation.py
@@ -62,6 +62,15 @@
     assert limited.credit_ratio() > steady.credit_ratio() - part
 
 
+def test_limits_below_the_demand_cost_the_urgent_kind_least():
+    scenario = SCENARIOS["all-targets-limited"]._replace(limit_per_s=4.0)
+    ratios = run_scenario(scenario).credit_ratio_by("kind")
+    urgent, other = (
+        ratios[kind] for kind in sorted(KINDS, key=lambda kind: kind.priority)
+    )
+    assert urgent > other
+
+
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_urgent_kind_is_served_at_least_as_often(runs, name):
     served = {}
