--- a/packages/cli/sardinewheel_cli/runner.py
+++ b/packages/cli/sardinewheel_cli/runner.py
@@ -21,7 +21,7 @@
 def run_command(session: Session, text: str, options: Options) -> ExitStatus:
     """Runs one command and prints its output."""
     try:
-        command = _parse(text, options)
+        command = _parse(session, text, options)
     except CommandError as error:
         return _report_error(error, options)
     return _run_and_print(session, command, text)
@@ -39,7 +39,7 @@
     findings: list[Finding] = []
     for part in parts:
         try:
-            commands.append(_parse(part.text, options))
+            commands.append(_parse(session, part.text, options))
         except CommandError as error:
             findings += _add_line_number(error, part.line)
     if findings:
@@ -73,8 +73,8 @@
     return ExitStatus.OK
 
 
-def _parse(text: str, options: Options) -> Command:
-    command = parse(text)
+def _parse(session: Session, text: str, options: Options) -> Command:
+    command = parse(text, names=session.known_names)
     return command._replace(options=command.options.merged(options))
 
 
