--- a/packages/core/sardinewheel_core/pipeline.py
+++ b/packages/core/sardinewheel_core/pipeline.py
@@ -331,7 +331,7 @@
         queue = host.queue(exchange.request.service)
         queue.service_time.observe(result.duration_s)
         host.drains.observe(state.service, result.duration_s)
-    elif result.reason is not Reason.PAUSED:
+    elif result.reason is not Reason.MAY_NOT_SEND:
         state.record_failure(now, host.rng)
         # After a lost connection, the same target may be retried on a new one.
         if result.ending is not Ending.LOST:
--- a/packages/core/sardinewheel_core/request.py
+++ b/packages/core/sardinewheel_core/request.py
@@ -62,7 +62,7 @@
     ``PLATFORM_AWAY``: the platform did not confirm in time who owns the id.
     ``CLAIM_UNREADABLE``: the row that says who owns the id is malformed.
     ``BOOK_FULL``: the outcome store has reached its maximum size.
-    ``PAUSED``: the host was no longer allowed to send the first byte, for
+    ``MAY_NOT_SEND``: the host was no longer allowed to send the first byte, for
     example after a pause of its process.
     """
 
@@ -94,7 +94,7 @@
     SUPERSEDED = "superseded"
     ID_REUSED = "id-reused"
     NOT_SEEN = "not-seen"
-    PAUSED = "paused"
+    MAY_NOT_SEND = "paused"
     DUPLICATE = "duplicate"
 
 
--- a/packages/entry/sardinewheel_entry/attempts.py
+++ b/packages/entry/sardinewheel_entry/attempts.py
@@ -63,7 +63,7 @@
         sock = connection.sock
         if not self.may_send(effect.attempt_id):
             sock.close()
-            return _without_response(Ending.NOT_SENT, Reason.PAUSED)
+            return _without_response(Ending.NOT_SENT, Reason.MAY_NOT_SEND)
         remaining_s = max(0.0, effect.request.deadline - time.monotonic())
         use_pooled_timeout = connection.is_pooled and effect.request.repeatable
         sock.settimeout(
