--- a/tests/gateway/policy/test_membership.py
+++ b/tests/gateway/policy/test_membership.py
@@ -175,11 +175,11 @@
     changed.own = changed.own._replace(is_ready=False, store=StoreAccess.AWAY)
     fleet.run_until(8.5)
     for protocol in fleet.hosts.values():
-        if protocol.host_table.own.region == changed.own.region:
-            peer = protocol.host_table.peers.get("h030")
-            if peer is not None:
-                assert not peer.state.is_ready
-                assert peer.state.store is StoreAccess.AWAY
+        table = protocol.host_table
+        if table is not changed and table.own.region == changed.own.region:
+            state = table.peers["h030"].state
+            assert not state.is_ready
+            assert state.store is StoreAccess.AWAY
 
 
 def test_heartbeat_carries_the_positions_of_its_sender():
