Wait for what a host knows, not for a line that it may never log

Traced in the logs: host-1 started 0.56 s after host-0, which followed the store 0.12 s before host-1 discovered it. So host-1 learned it with host-0's first state, and host-store-changed is logged for changes only. It now also takes a discovery after the other's start of following; what the test asserts is unchanged.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,6 +1,7 @@
 """Tests of the gateway process: bodies, shutdown, reload, store faults."""
 
 import hashlib
+import itertools
 import random
 import signal
 import time
@@ -9,6 +10,7 @@
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
+from sardinewheel_cli import log_lines
 
 from tests.platform.fakes import Store, Target
 from tests.platform.gateway_process import FRONT_PORT, GatewayProcess
@@ -250,13 +252,31 @@
     group.wait_for_log("version=7", 5.0)
 
 
+def _knows_follower(own, other):
+    """Returns whether a host knows that the other one follows the store.
+
+    It logs a change, but not what it learns when it discovers the other.
+    """
+    lines = list(log_lines.read(own.log_path.read_text().splitlines()))
+    if any(x.fields.get("store") == "FOLLOWING" for x in lines):
+        return True
+    discovered = [x.time for x in lines if x.event == "hosts-discovered"]
+    others = log_lines.read(other.log_path.read_text().splitlines())
+    started = [x.time for x in others if x.event == "store-follow-started"]
+    return bool(discovered and started) and discovered[0] > started[0]
+
+
 def test_silent_store_connections_of_all_hosts_are_replaced(make_group):
     """Open connections of hosts in both regions go silent; new ones work."""
     group = make_group("north-a", "east-a")
     group.start()
     group.wait_for_log("event=store-follow-started", 10.0)
-    # Wait until each host knows that the other follows the store too.
-    group.wait_for_log("store=FOLLOWING", 10.0)
+    with gevent.Timeout(10.0):
+        while not all(
+            _knows_follower(own, other)
+            for own, other in itertools.permutations(group.gateways)
+        ):
+            gevent.sleep(0.05)
     gevent.sleep(2.0)
     for relay in group.store_relays:
         relay.silence_open_connections()
