Log when a host reaches no target, with the evidence

The logs could not tell a service that is down from a host whose own path is lost: both show target-failed lines and targets-down.

Two or more targets that fail in a row, none reached in between, now start a round of new connections to up to four other targets in different domains. If all fail, target-path-lost is logged; the path counts as regained after two good rounds in a row, more if it flaps. Gauge reaches_targets. Nothing acts on it yet; calm hosts send no probes.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -9,13 +9,13 @@
 from sardinewheel_gateway.errors import NotSentError, ResponseLostError
 from sardinewheel_gateway.http_client import (
     ClientExchange,
-    ConnectionPool,
     IncomingResponse,
     OutgoingRequest,
     connect,
 )
 from sardinewheel_gateway.messages import RequestHead
 from sardinewheel_gateway.metrics import Metrics
+from sardinewheel_gateway.path_monitor import PathMonitor
 from sardinewheel_gateway.platform_adapter import (
     CallerInfo,
     PlatformAdapter,
@@ -121,6 +121,7 @@
     Attributes:
         routing_state: State of the targets, updated with each result.
         adapter: Parses and builds the platform's headers.
+        path_monitor: Told which connections failed and which worked.
         pool: Idle connections to targets.
         metrics: Counts new connections.
         on_announcement: Called with a target that responded and what the
@@ -132,13 +133,15 @@
         routing_state: RoutingState,
         adapter: PlatformAdapter,
         metrics: Metrics,
+        path_monitor: PathMonitor,
         log,
     ):
         self.routing_state = routing_state
         self.adapter = adapter
         self.metrics = metrics
+        self.path_monitor = path_monitor
         self.log = log
-        self.pool = ConnectionPool()
+        self.pool = path_monitor.pool
         self.on_announcement: Callable[[Target, Announcement | None], None]
         self.on_announcement = lambda _target, _announcement: None
 
@@ -192,6 +195,7 @@
         sock = self.pool.take(record.target_id, max_idle_s=idle_s)
         if sock is None:
             sock = connect(record.address, timeout_s=CONNECT_TIMEOUT_S)
+            self.path_monitor.record_reached()
             self.metrics.count("target_connections")
         request_id = request.caller.request_id
         return ClientExchange(
@@ -204,6 +208,7 @@
     ) -> Answered:
         record = placed.target.record
         response = exchange.run(self._build_request(request, record.target_id))
+        self.path_monitor.record_reached()
         response_info = self.adapter.response_info(
             response.status, response.headers
         )
@@ -263,6 +268,7 @@
             target, sent_at, clock.steady()
         ):
             self.pool.drop(target.record.target_id)
+            self.path_monitor.record_failure(target.record.target_id)
             self.log.warning(
                 "target-silent",
                 request=request.caller.request_id,
@@ -276,6 +282,7 @@
     ) -> None:
         record = placed.target.record
         self.pool.drop(record.target_id)
+        self.path_monitor.record_failure(record.target_id)
         self.routing_state.record_target_failure(placed.target, clock.steady())
         self.log.warning(
             "target-failed",
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -9,8 +9,10 @@
     UNAVAILABLE,
     Forwarding,
 )
+from sardinewheel_gateway.http_client import ConnectionPool
 from sardinewheel_gateway.limit_permits import LimitPermits
 from sardinewheel_gateway.metrics import Metrics, Series
+from sardinewheel_gateway.path_monitor import PathMonitor
 from sardinewheel_gateway.platform_adapter import CallerInfo, PlatformAdapter
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
@@ -28,6 +30,7 @@
         routing_state: Configuration in force and state of the targets.
         adapter: Parses and builds the platform's headers.
         permits: Gets permits for requests to targets that name a limit.
+        path_monitor: Finds out whether this host reaches targets.
         sender: Sends requests to targets.
         metrics: Counters and histograms.
         is_refusing: Whether new requests are refused because of shutdown.
@@ -47,7 +50,12 @@
         self.adapter = adapter
         self.metrics = metrics
         self.log = log
-        self.sender = Sender(routing_state, adapter, metrics, log)
+        self.path_monitor = PathMonitor(
+            routing_state, ConnectionPool(), routing_state.rng, log
+        )
+        self.sender = Sender(
+            routing_state, adapter, metrics, self.path_monitor, log
+        )
         self.is_refusing = False
 
     def handle(self, exchange: Exchange) -> None:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -203,6 +203,8 @@
         keep_running("tick", self._tick_forever, self.log)
         keep_running("announce", self.announcement_exchange.run, self.log)
         keep_running("relay", self.sync.relay.run, self.log)
+        path_monitor = self.forwarder.path_monitor
+        keep_running("path", path_monitor.run, self.log)
         keep_running("follow", partial(self.source.run, self.sync), self.log)
 
     def run(self, *, on_reload: Callable[[], None] | None = None) -> None:
@@ -293,6 +295,9 @@
         return {
             "configuration_version": self.routing_state.version,
             "targets": len(self.routing_state.target_table.targets),
+            "reaches_targets": float(
+                not self.forwarder.path_monitor.reachability.is_lost
+            ),
             "limited_targets": len(self.routing_state.announcements.limits),
             "hosts": len(self.host_table.live(now=clock.steady())),
             "requests_under_way": len(self.front.in_progress),
