Add a failing test: callers of hosts that reach no target are served

Four hosts as processes, each with relays of its own to four targets; the paths of two are cut: connections hang, are reset, are refused, or live on while new ones are refused. From 4 s after the cut callers' requests at the two must be served two thirds as often as at the others.

--- a/tests/platform/gateway_group.py
+++ b/tests/platform/gateway_group.py
@@ -12,6 +12,7 @@
 )
 from tests.platform.relays import ConnectionRelay, DatagramRelay
 from tests.platform.soak.operators import configuration
+from tests.platform.target_paths import TargetPath
 
 START_TIMEOUT_S = 30.0
 
@@ -25,6 +26,7 @@
         gateways: Gateway processes.
         datagram_relays: Relay of the datagrams to each gateway.
         control_relays: Relay of other gateways' connections to each gateway.
+        target_paths: Path of each gateway to the targets, if they are relayed.
     """
 
     def __init__(self, folder, domains):
@@ -56,6 +58,17 @@
             for x in self.gateways
         ]
 
+        self.target_paths = []
+
+    def relay_targets(self, targets):
+        """Puts relays between each gateway and the targets, before the start."""
+        for gateway in self.gateways:
+            gateway.has_target_relays = True
+            path = TargetPath(gateway)
+            for target in targets:
+                path.add(target)
+            self.target_paths.append(path)
+
     def start(self):
         """Starts all and waits until they are ready."""
         for gateway in self.gateways:
@@ -76,7 +89,7 @@
         """Stops the processes and servers."""
         for gateway in self.gateways:
             gateway.kill_if_running()
-        for relay in self.datagram_relays:
+        for relay in (*self.datagram_relays, *self.target_paths):
             relay.close()
         for server in (self.store, *self.store_relays, *self.control_relays):
             server.server.stop()
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -56,6 +56,7 @@
         ip: Loopback address that it listens on.
         relay_ip: Address that it announces to other gateways, if relayed.
         script: Python file that is run.
+        has_target_relays: Whether it reaches targets at ``relay_ip``.
         is_paused: Whether it is stopped by SIGSTOP.
         is_terminating: Whether it was sent a signal that ends it.
         cpu_waits: Spans in which it was runnable but waited for a processor,
@@ -75,6 +76,7 @@
         self.number = number
         self.script = RELAYED_GATEWAY_SCRIPT if is_relayed else GATEWAY_SCRIPT
         self.name = f"host-{number}"
+        self.has_target_relays = False
         net = f"127.0.{os.getpid() % 200 + 10}"
         self.ip = f"{net}.{number + 1}"
         self.relay_ip = f"{net}.{RELAY_IP_OFFSET + number + 1}"
@@ -110,6 +112,7 @@
         environment = os.environ | {
             "SARDINEWHEEL_SETTINGS": str(self.settings_path),
             "ANNOUNCED_IP": self.relay_ip,
+            "TARGET_RELAY_IP": self.relay_ip if self.has_target_relays else "",
         }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -1,6 +1,7 @@
 """Loopback relays that inject network faults between processes."""
 
 import contextlib
+import struct
 
 import gevent
 from gevent import socket
@@ -9,8 +10,13 @@
 READ_BYTES = 65536
 CONNECTION_DELAY_S = 0.1
 CONNECT_TIMEOUT_S = 1.0
+BACKLOG = 1
+FILL_TIMEOUT_S = 0.05
+MAX_FILLING = 16
 LOSS_PROBABILITY = 0.3
 MAX_DATAGRAM_DELAY_S = 1.0
+# Values of SO_LINGER: on, for 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ConnectionRelay:
@@ -23,6 +29,8 @@
         accepted_count: Number of connections accepted so far.
         last_silenced: Connections with this number or a lower one drop all
             data.
+        filling: Connections that fill the queue of the listener while new
+            ones hang.
     """
 
     def __init__(self, target_address, listen=("127.0.0.1", 0)):
@@ -31,7 +39,9 @@
         self.mode = "ok"
         self.accepted_count = 0
         self.last_silenced = 0
-        self.server = StreamServer(listen, self._relay)
+        self.filling = []
+        self.open_sockets = set()
+        self.server = StreamServer(listen, self._relay, backlog=BACKLOG)
         self.server.start()
 
     @property
@@ -42,9 +52,51 @@
         """Drops all data of open connections from now on; new ones work."""
         self.last_silenced = self.accepted_count
 
+    def hang_new(self):
+        """Lets new connections hang: they are neither accepted nor refused."""
+        self.server.stop_accepting()
+        listener = (self.server.server_host, self.server.server_port)
+        for _ in range(MAX_FILLING):
+            try:
+                sock = socket.create_connection(
+                    listener, timeout=FILL_TIMEOUT_S
+                )
+            except OSError:
+                return
+            self.filling.append(sock)
+
+    def refuse_new(self):
+        """Refuses new connections; open ones live on."""
+        self.server.close()
+
+    def reset_open_connections(self):
+        """Resets all open connections."""
+        for sock in list(self.open_sockets):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+
+    def accept_new(self):
+        """Accepts new connections again."""
+        for sock in self.filling:
+            sock.close()
+        self.filling.clear()
+        if self.server.closed:
+            address = (self.server.server_host, self.server.server_port)
+            self.server = StreamServer(address, self._relay, backlog=BACKLOG)
+            self.server.start()
+        else:
+            self.server.start_accepting()
+
     def _relay(self, sock, _address):
         self.accepted_count += 1
         number = self.accepted_count
+        self.open_sockets.add(sock)
+        try:
+            self._relay_connection(sock, number)
+        finally:
+            self.open_sockets.discard(sock)
+
+    def _relay_connection(self, sock, number):
         try:
             other = socket.create_connection(
                 self.target, timeout=CONNECT_TIMEOUT_S
--- /dev/null
+++ b/tests/platform/target_paths.py
@@ -0,0 +1,68 @@
+"""The path of each gateway to the targets, which can be cut."""
+
+from tests.platform.relays import ConnectionRelay
+
+CUTS = ("hang", "reset", "refuse", "refuse-new")
+
+
+class TargetPath:
+    """Relays between one gateway and the targets.
+
+    Attributes:
+        gateway: The gateway.
+        relays: Relay to each target, by the port of the target.
+        how: How the path is cut; empty while it is not.
+    """
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.relays = {}
+        self.how = ""
+
+    def add(self, target):
+        """Adds a target that has started to listen."""
+        port = target.server.server_port
+        relay = ConnectionRelay(
+            f"127.0.0.1:{port}", (self.gateway.relay_ip, port)
+        )
+        self.relays[port] = relay
+        if self.how:
+            _cut(relay, self.how)
+
+    def cut(self, how, *, share=1.0):
+        """Cuts the gateway off from the first ``share`` of the targets.
+
+        Args:
+            how: ``hang``, ``reset`` (open connections are reset, new ones
+                hang), ``refuse`` (open ones are reset, new ones refused) or
+                ``refuse-new`` (open ones live on).
+            share: Part of the targets.
+        """
+        relays = list(self.relays.values())
+        if share == 1.0:
+            self.how = how
+        for relay in relays[: round(share * len(relays))]:
+            _cut(relay, how)
+
+    def heal(self):
+        """Ends the cut."""
+        self.how = ""
+        for relay in self.relays.values():
+            relay.mode = "ok"
+            relay.accept_new()
+
+    def close(self):
+        """Stops the relays."""
+        for relay in self.relays.values():
+            relay.server.close()
+
+
+def _cut(relay, how):
+    if how == "hang":
+        relay.mode = "silent"
+    if how in ("reset", "refuse"):
+        relay.reset_open_connections()
+    if how in ("refuse", "refuse-new"):
+        relay.refuse_new()
+    else:
+        relay.hang_new()
--- /dev/null
+++ b/tests/platform/test_target_paths.py
@@ -0,0 +1,115 @@
+"""Callers of a host that reaches no target are served by other hosts."""
+
+import random
+
+import gevent
+import pytest
+
+from tests.platform.fakes import Target
+from tests.platform.soak.callers import connect, exchange, request
+from tests.platform.target_paths import CUTS
+
+DOMAINS = ("north-a", "north-a", "north-b", "north-b")
+STRANDED = (0, 2)
+REQUESTS_PER_S = 40.0
+OBJECT_COUNT = 40
+CALM_S = 2.0
+# Time after a cut from which callers must be served again, of the 4 s that the
+# users allow.
+CONTACT_S = 4.0
+CUT_S = 8.0
+MIN_SERVED_RATIO = 2 / 3
+
+
+class Load:
+    """Callers that send requests to all hosts, over kept connections.
+
+    Attributes:
+        statuses: Status of each response by number of the host; 0 if there
+            was none.
+        non_idempotent_ids: Ids of the requests that may run once only.
+    """
+
+    def __init__(self, gateways):
+        self.gateways = gateways
+        self.rng = random.Random(5)
+        self.statuses = {gateway.number: [] for gateway in gateways}
+        self.idle = {gateway.number: [] for gateway in gateways}
+        self.non_idempotent_ids = set()
+        self.number = 0
+        self.task = gevent.spawn(self._send_forever)
+
+    def served_ratio(self, numbers):
+        """Returns the share of requests at the given hosts that were served."""
+        statuses = [x for number in numbers for x in self.statuses[number]]
+        return statuses.count(200) / len(statuses)
+
+    def forget(self):
+        """Drops the statuses so far."""
+        for statuses in self.statuses.values():
+            statuses.clear()
+
+    def _send_forever(self):
+        while True:
+            gevent.spawn(self._send, self.rng.choice(self.gateways))
+            gevent.sleep(self.rng.expovariate(REQUESTS_PER_S))
+
+    def _send(self, gateway):
+        self.number += 1
+        idle = self.idle[gateway.number]
+        sock = idle.pop() if idle else connect(gateway)
+        kind = self.rng.choice(["idempotent", "non_idempotent"])
+        key = self.rng.randint(1, OBJECT_COUNT)
+        request_id = f"{self.number}-{gateway.number}"
+        if kind == "non_idempotent":
+            self.non_idempotent_ids.add(request_id)
+        response = exchange(
+            sock, request("GET", f"/{kind}/x", request_id, key=key)
+        )
+        self.statuses[gateway.number].append(response[0] if response else 0)
+        if response and response[1].get("connection", "").lower() != "close":
+            idle.append(sock)
+        else:
+            sock.close()
+
+
+@pytest.fixture
+def group(make_group):
+    """Running hosts with relays to four targets, ``targets``."""
+    created = make_group(*DOMAINS)
+    created.counts = {}
+    created.targets = [
+        Target(
+            f"t{number}",
+            created.store,
+            created.counts,
+            service="orders",
+            domain=DOMAINS[number],
+            rng=random.Random(number),
+            on_request=lambda *_: None,
+        )
+        for number in range(4)
+    ]
+    created.relay_targets(created.targets)
+    created.start()
+    yield created
+    for target in created.targets:
+        target.crash()
+
+
+@pytest.mark.parametrize("how", CUTS)
+def test_callers_of_hosts_that_reach_no_target_are_served(group, how):
+    load = Load(group.gateways)
+    gevent.sleep(CALM_S)
+    for number in STRANDED:
+        group.target_paths[number].cut(how)
+    gevent.sleep(CONTACT_S)
+    load.forget()
+    gevent.sleep(CUT_S - CONTACT_S)
+    load.task.kill()
+    others = set(range(len(DOMAINS))) - set(STRANDED)
+    served = load.served_ratio(STRANDED)
+    assert served >= MIN_SERVED_RATIO * load.served_ratio(others)
+    assert not [
+        x for x in load.non_idempotent_ids if group.counts.get(x, 0) > 1
+    ]
