Forward requests to other hosts while this one reaches no target

Callers of a host that had lost its path to the targets were refused for as long as the cut lasted, while its neighbours reached all targets.

Cause: a host's fitness was judged by its life (heartbeats, configuration), not by what it can do; nothing took over what it could not do; and it blamed single targets for its own path. Class of fault: a partial partition, seen by one party only, taken for a failure of the others. Ruled out: targets or store at fault (the other hosts served 1,224 of 1,227), late detection (the failures are logged 0.55 s after the cut), look-ups alone (callers keep look-ups and connections for 2 to 6 s).

Change: a host whose path is lost says so in its heartbeats, is left out of look-ups while others reach targets, and forwards its callers' requests to one of these, over HTTP at the port of the datagrams. The same serves a request whose targets only this host can't reach. Attempts, deadline, retry budget, configuration and home regions hold for both hosts together; a request that may run once is never sent to a second host if the first may have run it; nothing is forwarded twice. If no host can take it: refused at once. When the path is back, requests return over a second and failures of targets are forgotten.

Unit tests of choice and forwarding.

--- a/packages/cli/sardinewheel_cli/request_trace.py
+++ b/packages/cli/sardinewheel_cli/request_trace.py
@@ -43,6 +43,8 @@
         "configuration-applied",
         "evacuations-changed",
         "log-lines-omitted",
+        "target-path-lost",
+        "target-path-regained",
     }
 )
 GATEWAY_REASONS = {
@@ -53,6 +55,7 @@
     "targets-down": "every remaining target had just failed or was cold",
     "targets-limited": "its targets accept a limited rate, which was used up",
     "targets-paused": "its targets had asked this host to wait",
+    "path-lost": "the host reached no target, and no other host took it",
     "no-route": "no route of the configuration in force allows it",
     "body-too-large": "its body is larger than the configuration allows",
     "unproved answer": "the target's answer could not be proved complete",
@@ -117,10 +120,25 @@
     def end(self) -> LogLine | None:
         """Line of the final outcome, or ``None`` if it was not logged."""
         ends = [line for line in self.request if line.event in END_EVENTS]
-        return ends[-1] if ends else None
+        # The host that forwarded it has the final word for the caller.
+        final = [line for line in ends if "origin" not in line.fields] or ends
+        return final[-1] if final else None
 
     def cause(self) -> str:
         """Returns the cause of the outcome in one or two sentences."""
+        return self._cause() + self._forwarded()
+
+    def _forwarded(self) -> str:
+        """Returns where the request was forwarded to, as further sentences."""
+        return "".join(
+            f" {line.host} forwarded it to {line.fields.get('peer')}: "
+            f"{line.fields.get('outcome')} {line.fields.get('detail', '')} "
+            f"after {line.number('took_s'):.3f} s."
+            for line in self.request
+            if line.event == "peer-attempt-ended"
+        )
+
+    def _cause(self) -> str:
         end = self.end
         if not self.request:
             return "No line names this request: check for log-lines-omitted."
@@ -230,6 +248,8 @@
         return f"Late: {self._late_cause(end)}"
 
     def _late_cause(self, end: LogLine) -> str:
+        if not self.attempts:
+            return "no given log has its attempts."
         line = self.attempts[-1]
         took_s = end.number("took_s")
         target = line.fields.get("target", "")
--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -13,7 +13,7 @@
     OutgoingRequest,
     connect,
 )
-from sardinewheel_gateway.messages import RequestHead
+from sardinewheel_gateway.messages import Headers, RequestHead
 from sardinewheel_gateway.metrics import Metrics
 from sardinewheel_gateway.path_monitor import PathMonitor
 from sardinewheel_gateway.platform_adapter import (
@@ -115,6 +115,23 @@
     return ""
 
 
+def outgoing_request(request: Request, headers: Headers) -> OutgoingRequest:
+    """Returns a caller's request, framed anew, with the given headers."""
+    head = request.head
+    if request.body.rest is not None:
+        if messages.header_value(headers, b"content-length") is None:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        parts = request.body.parts()
+        return OutgoingRequest(
+            head.method, head.path, headers, parts, is_chunked=True
+        )
+    headers = [h for h in headers if h[0] != b"content-length"]
+    if messages.has_body(head.headers):
+        length = str(len(request.body.start)).encode()
+        headers.append((b"content-length", length))
+    return OutgoingRequest(head.method, head.path, headers, request.body.start)
+
+
 class Sender:
     """Sends requests to targets; never retries.
 
@@ -239,20 +256,7 @@
             target_id=target_id,
             remaining_s=max(MIN_REMAINING_S, left_s),
         )
-        if request.body.rest is not None:
-            if messages.header_value(headers, b"content-length") is None:
-                headers.append((b"transfer-encoding", b"chunked"))
-            parts = request.body.parts()
-            return OutgoingRequest(
-                head.method, head.path, headers, parts, is_chunked=True
-            )
-        headers = [h for h in headers if h[0] != b"content-length"]
-        if messages.has_body(head.headers):
-            length = str(len(request.body.start)).encode()
-            headers.append((b"content-length", length))
-        return OutgoingRequest(
-            head.method, head.path, headers, request.body.start
-        )
+        return outgoing_request(request, headers)
 
     def _connect_failed(
         self, request: Request, placed: Placed, reason: str
--- a/packages/gateway/sardinewheel_gateway/exchange.py
+++ b/packages/gateway/sardinewheel_gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from sardinewheel_gateway.errors import BodyTooLargeError, CallerGoneError
 from sardinewheel_gateway.messages import Headers, RequestHead
+from sardinewheel_gateway.peer_messages import Origin
 
 
 class CallerConnection(Protocol):
@@ -39,6 +40,7 @@
         has_begun: Whether bytes of the response may have been sent.
         is_done: Whether the response is complete.
         received_bytes: Size of the part of the request body read so far.
+        origin: Where the request comes from, if another host forwarded it.
     """
 
     def __init__(self, connection: CallerConnection, parser, head):
@@ -50,6 +52,7 @@
         self.is_done = False
         self.chunks: deque[bytes] = deque()
         self.received_bytes = 0
+        self.origin: Origin | None = None
         self.body_error: Exception | None = None
         self.body_is_complete = False
         self.body_changed = Event()
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -1,6 +1,6 @@
 """Handles callers' requests: forwards or refuses each of them."""
 
-from sardinewheel_gateway import clock
+from sardinewheel_gateway import clock, peer_messages
 from sardinewheel_gateway.attempts import Body, Sender
 from sardinewheel_gateway.errors import BodyTooLargeError
 from sardinewheel_gateway.exchange import Exchange
@@ -13,13 +13,22 @@
 from sardinewheel_gateway.limit_permits import LimitPermits
 from sardinewheel_gateway.metrics import Metrics, Series
 from sardinewheel_gateway.path_monitor import PathMonitor
+from sardinewheel_gateway.peer_forwarding import PATH_LOST
+from sardinewheel_gateway.peer_messages import Origin
+from sardinewheel_gateway.peer_sender import PeerSender
 from sardinewheel_gateway.platform_adapter import CallerInfo, PlatformAdapter
+from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
 
 MAX_REPEATABLE_BODY_BYTES = 64 * 1024
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 STOPPING_RETRY_AFTER_S = 0.1
+PEER_RETRY_AFTER_S = 0.3
+# Requests of other hosts handled at the same time, each of which may take
+# ``MAX_REPEATABLE_BODY_BYTES`` and two connections.
+MAX_PEER_REQUESTS = 256
+BAD_REQUEST = 400
 NOT_FOUND = 404
 
 
@@ -32,6 +41,8 @@
         permits: Gets permits for requests to targets that name a limit.
         path_monitor: Finds out whether this host reaches targets.
         sender: Sends requests to targets.
+        peer_sender: Sends requests to other hosts.
+        peer_requests: Requests of other hosts under way.
         metrics: Counters and histograms.
         is_refusing: Whether new requests are refused because of shutdown.
     """
@@ -42,6 +53,7 @@
         routing_state: RoutingState,
         permits: LimitPermits,
         adapter: PlatformAdapter,
+        peer_choice: PeerChoice,
         metrics: Metrics,
         log,
     ):
@@ -56,6 +68,8 @@
         self.sender = Sender(
             routing_state, adapter, metrics, self.path_monitor, log
         )
+        self.peer_sender = PeerSender(peer_choice)
+        self.peer_requests = 0
         self.is_refusing = False
 
     def handle(self, exchange: Exchange) -> None:
@@ -80,6 +94,42 @@
             return
         Forwarding(self, exchange, caller, route, body).run()
 
+    def handle_peer(self, exchange: Exchange) -> None:
+        """Handles one request that another host forwards."""
+        try:
+            head, origin = peer_messages.parse_request(exchange.head)
+        except ValueError as error:
+            self.log.warning("peer-request-invalid", reason=str(error))
+            exchange.respond(BAD_REQUEST, [], b"")
+            return
+        exchange.head = head
+        exchange.origin = origin
+        reason = self._peer_refusal(origin)
+        if reason:
+            self.respond(
+                exchange,
+                self.adapter.caller(head.headers),
+                UNAVAILABLE,
+                reason,
+                retry_after_s=PEER_RETRY_AFTER_S,
+            )
+            return
+        self.peer_requests += 1
+        try:
+            self.handle(exchange)
+        finally:
+            self.peer_requests -= 1
+
+    def _peer_refusal(self, origin: Origin) -> str:
+        """Returns why a request of another host is refused, or ``""``."""
+        if origin.version > self.routing_state.version:
+            return "older-configuration"
+        if self.peer_requests >= MAX_PEER_REQUESTS:
+            return "host-busy"
+        if self.path_monitor.reachability.is_lost:
+            return PATH_LOST
+        return ""
+
     def _route(self, exchange: Exchange, caller: CallerInfo) -> Route | None:
         if self.routing_state.configuration is None:
             self.respond(
@@ -122,6 +172,11 @@
             **fields: Further fields of the log line.
         """
         headers = self.adapter.local_response_headers(exchange.head.headers)
+        if exchange.origin is not None:
+            headers = peer_messages.own_response_headers(
+                headers, metric_reason or reason
+            )
+            fields["origin"] = exchange.origin.host
         if retry_after_s is not None:
             value = f"{retry_after_s:.2f}".encode()
             headers = [*headers, (b"retry-after", value)]
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from sardinewheel_gateway import clock, messages
+from sardinewheel_gateway import clock, messages, peer_messages
 from sardinewheel_gateway.attempts import (
     FIRST_ERROR_STATUS,
     Answered,
@@ -25,13 +25,17 @@
     ResponseLostError,
 )
 from sardinewheel_gateway.exchange import Exchange
+from sardinewheel_gateway.http_client import IncomingResponse
 from sardinewheel_gateway.metrics import Series
+from sardinewheel_gateway.peer_forwarding import PATH_LOST, PeerForwarding
+from sardinewheel_gateway.peer_sender import PeerAnswered, PeerFailed
 from sardinewheel_gateway.platform_adapter import CallerInfo
 from sardinewheel_gateway.policy.placement import (
     Placed,
     PlacementRequest,
     Refused,
 )
+from sardinewheel_gateway.policy.reachability import Reachability
 from sardinewheel_gateway.policy.routes import Route
 
 if TYPE_CHECKING:
@@ -43,6 +47,8 @@
 MIN_ATTEMPT_S = 0.05
 STREAM_MARGIN_S = 5.0
 DEFAULT_RETRY_AFTER_S = 0.3
+PATH_LOST_RETRY_AFTER_S = 0.5
+TARGETS_DOWN = "targets-down"
 TOO_LARGE = 413
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -61,6 +67,7 @@
         unreachable: Ids of the targets to which connecting failed.
         without_permit: Ids of the targets whose limit did not admit it.
         last_result: Result of the last attempt.
+        peers: Forwarding to other hosts, if this one reaches no target.
     """
 
     def __init__(
@@ -77,10 +84,12 @@
         self.sender = forwarder.sender
         self.exchange = exchange
         self.service = self.routing_state.choose_service(route)
-        self.tried: list[str] = []
+        origin = exchange.origin
+        self.tried: list[str] = [] if origin is None else list(origin.tried)
         self.unreachable: list[str] = []
         self.without_permit: list[str] = []
         self.last_result: AttemptResult | None = None
+        self.peers = PeerForwarding(self, forwarder.peer_sender)
         received_at = exchange.head.received_at
         caller_timeout_s = caller.remaining_s
         if caller_timeout_s is None:
@@ -95,6 +104,11 @@
         """Route of the request."""
         return self.request.route
 
+    @property
+    def reachability(self) -> Reachability:
+        """Whether this host reaches targets."""
+        return self.forwarder.path_monitor.reachability
+
     @property
     def is_urgent(self) -> bool:
         """Whether its service also has routes of a lower priority."""
@@ -121,8 +135,11 @@
             raise
         finally:
             self.sender.close_unread_response(self.last_result)
+            self.peers.close()
 
     def _run(self) -> None:
+        if self._prefers_peers() and self._end_without_targets():
+            return
         while True:
             now = clock.steady()
             if self.request.deadline - now < MIN_ATTEMPT_S:
@@ -135,7 +152,9 @@
                 self._placement_request(), now
             )
             if isinstance(choice, Refused):
-                self._refuse(choice)
+                is_down = choice.reason == TARGETS_DOWN
+                if not (is_down and self._end_at_peer()):
+                    self._refuse(choice)
                 return
             if not self._acquire_permit(choice):
                 continue
@@ -149,6 +168,48 @@
             if self._is_final(self.last_result):
                 self._finish(self.last_result)
                 return
+            if self.reachability.is_lost and self._end_at_peer():
+                return
+
+    def _prefers_peers(self) -> bool:
+        """Returns whether to forward the request before any attempt here."""
+        if self.exchange.origin is not None:
+            return False
+        share = self.reachability.local_share(now=clock.steady())
+        return share < 1.0 and self.routing_state.rng.random() >= share
+
+    def _end_without_targets(self) -> bool:
+        """Returns whether the request was ended without any attempt here."""
+        if self._end_at_peer():
+            return True
+        if not self.reachability.is_lost:
+            return False
+        if self.peers.refused is not None:
+            self._refuse(self.peers.refused)
+            return True
+        if self.sender.pool.idle:
+            # Open connections may still work when new ones do not.
+            return False
+        spread = 1.0 + self.routing_state.rng.random()
+        self._refuse(Refused(PATH_LOST, PATH_LOST_RETRY_AFTER_S * spread))
+        return True
+
+    def _end_at_peer(self) -> bool:
+        """Forwards the request; returns whether that ended it."""
+        result = self.peers.run()
+        if result is None:
+            return False
+        self.routing_state.withdraw_request(self.service)
+        match result:
+            case PeerAnswered():
+                self._send_peer_response(result)
+            case PeerFailed(status, reason):
+                self._respond(status, reason, metric_reason="peer-failed")
+            case Lost(reason):
+                self._respond_lost(reason)
+            case _:
+                self._respond_error(GATEWAY_TIMEOUT, "timeout")
+        return True
 
     def _acquire_permit(self, placed: Placed) -> bool:
         """Returns whether the limit of the target, if any, admits a request."""
@@ -242,10 +303,11 @@
             case Answered():
                 self._send_response(result)
             case NotSent(reason):
-                self._respond_unavailable(
-                    Refused(reason, DEFAULT_RETRY_AFTER_S),
-                    metric_reason="not-sent",
-                )
+                if not self._end_at_peer():
+                    self._respond_unavailable(
+                        Refused(reason, DEFAULT_RETRY_AFTER_S),
+                        metric_reason="not-sent",
+                    )
             case Lost(reason):
                 self._respond_lost(reason)
             case TimedOut():
@@ -302,38 +364,73 @@
         if is_success and not answered.response_info.is_authentic:
             self._respond_error(BAD_GATEWAY, "unproved answer")
             return
+        placed = answered.placed
+        target_id = placed.target.record.target_id
         headers = messages.end_to_end(response.headers)
+        if self.exchange.origin is not None:
+            headers = peer_messages.target_response_headers(headers, target_id)
+        if response.rest is None:
+            self.exchange.respond(response.status, headers, response.body)
+        else:
+            self._stream(response, headers)
+            self.sender.return_connection(answered.exchange, placed)
+            self.exchange.finish()
+        self._log_response(
+            response.status,
+            target=target_id,
+            choice=placed.choice,
+            load=placed.load,
+        )
+
+    def _send_peer_response(self, answered: PeerAnswered) -> None:
+        """Sends the response of a target that another host relayed."""
+        response = answered.response
+        info = self.forwarder.adapter.response_info(
+            response.status, answered.headers
+        )
+        target = self.routing_state.target_table.targets.get(answered.target_id)
+        if target is not None:
+            self.sender.on_announcement(target, info.announcement)
+        headers = messages.end_to_end(answered.headers)
+        peer = self.peers.asked[-1]
         if response.rest is None:
             self.exchange.respond(response.status, headers, response.body)
         else:
-            self._stream(answered, headers)
-        self._log_response(answered, is_success=is_success)
+            self._stream(response, headers)
+            self.forwarder.peer_sender.return_connection(
+                answered.exchange, peer
+            )
+            self.exchange.finish()
+        self._log_response(
+            response.status, target=answered.target_id, peer=peer
+        )
 
-    def _log_response(self, answered: Answered, *, is_success: bool) -> None:
+    def _log_response(self, status: int, **fields) -> None:
         took_s = self.age_s
-        status = answered.response.status
+        is_success = status < FIRST_ERROR_STATUS
         series = Series(self.service, self.route.name, str(status))
         self.forwarder.metrics.observe_request(series, took_s)
         is_late = took_s > self.route.objective_s
         is_routine = is_success and not is_late
+        if self.exchange.origin is not None:
+            fields["origin"] = self.exchange.origin.host
         (self.log.request if is_routine else self.log.info)(
             "request-answered",
             request=self.request.caller.request_id,
             status=status,
             route=self.route.name,
             service=self.service,
-            target=answered.placed.target.record.target_id,
-            choice=answered.placed.choice,
-            load=answered.placed.load,
             attempts=len(self.tried),
             took_s=took_s,
             late=is_late,
             config=self.routing_state.version,
+            **fields,
         )
 
-    def _stream(self, answered: Answered, headers: messages.Headers) -> None:
-        """Streams a response; aborts it if the target's is truncated."""
-        response = answered.response
+    def _stream(
+        self, response: IncomingResponse, headers: messages.Headers
+    ) -> None:
+        """Streams a response; aborts it if what is received is truncated."""
         self.exchange.begin(response.status, headers)
         self.exchange.send(response.body)
         limit_s = self.caller_deadline - clock.steady() + STREAM_MARGIN_S
@@ -347,5 +444,3 @@
         except ResponseLostError as error:
             self.exchange.abort()
             raise CallerGoneError(str(error)) from error
-        self.sender.return_connection(answered.exchange, answered.placed)
-        self.exchange.finish()
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -133,6 +133,7 @@
         *,
         is_ready: bool | None = None,
         store: StoreAccess | None = None,
+        reaches_targets: bool | None = None,
     ) -> None:
         """Updates this host's state and sends a change immediately."""
         own = self.host_table.own
@@ -141,6 +142,8 @@
             changed = changed._replace(is_ready=is_ready)
         if store is not None:
             changed = changed._replace(store=store)
+        if reaches_targets is not None:
+            changed = changed._replace(reaches_targets=reaches_targets)
         if changed != own:
             self.host_table.own = changed
             self.announce_to_region()
--- a/packages/gateway/sardinewheel_gateway/policy/digests.py
+++ b/packages/gateway/sardinewheel_gateway/policy/digests.py
@@ -16,6 +16,8 @@
 SEQUENCE_MODULUS = 1 << 16
 READY_BIT = 1
 STORE_SHIFT = 1
+STORE_MASK = 3
+NO_PATH_BIT = 8
 # Host id, sequence number, age and flags.
 ENTRY = struct.Struct("<IHBB")
 
@@ -30,6 +32,7 @@
         age_s: Seconds since that heartbeat was sent, as far as known.
         is_ready: Whether callers may be directed to the host.
         store: Value of its ``StoreAccess``.
+        reaches_targets: Whether the host reaches any target.
     """
 
     host_id: int
@@ -37,6 +40,7 @@
     age_s: float
     is_ready: bool
     store: int
+    reaches_targets: bool = True
 
 
 def host_id(name: str, incarnation: int) -> int:
@@ -51,7 +55,7 @@
             status.host_id,
             status.sequence % SEQUENCE_MODULUS,
             min(255, int(status.age_s / AGE_UNIT_S)),
-            READY_BIT * status.is_ready | status.store << STORE_SHIFT,
+            _flags(status),
         )
         for status in statuses
     )
@@ -71,10 +75,19 @@
             sequence,
             age * AGE_UNIT_S,
             bool(flags & READY_BIT),
-            flags >> STORE_SHIFT,
+            flags >> STORE_SHIFT & STORE_MASK,
+            not flags & NO_PATH_BIT,
         )
 
 
+def _flags(status: HostStatus) -> int:
+    return (
+        READY_BIT * status.is_ready
+        | status.store << STORE_SHIFT
+        | NO_PATH_BIT * (not status.reaches_targets)
+    )
+
+
 def sequence_advance(known: int, received: int) -> int:
     """Returns by how much a received sequence number is ahead of a known one.
 
--- a/packages/gateway/sardinewheel_gateway/policy/entry_hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/entry_hosts.py
@@ -12,6 +12,9 @@
 LARGE_FRACTION = 0.25
 # With fewer large hosts, the loss of one would affect too many callers.
 MIN_LARGE_HOSTS = 3
+# With a smaller share of a region's capacity at hosts that reach targets, their
+# callers are also sent to other regions.
+MIN_REACHING_SHARE = 0.25
 
 
 def entry_hosts(
@@ -27,11 +30,32 @@
     """
     ready = [host for host in hosts if host.is_ready]
     local = [host for host in ready if host.region == region]
-    chosen = _large_hosts(local or ready)
+    chosen = _large_hosts(_reaching_hosts(local, ready) or local or ready)
     chosen.sort(key=lambda host: (-host.capacity, host.name))
     return [host.front for host in chosen[:limit]]
 
 
+def _reaching_hosts(
+    local: list[HostState], ready: list[HostState]
+) -> list[HostState]:
+    """Returns the hosts that reach targets, of the region if it has enough.
+
+    Args:
+        local: Ready hosts of the region.
+        ready: Ready hosts of all regions.
+    """
+    reaching = [host for host in local if host.reaches_targets]
+    if reaching and _capacity(reaching) >= MIN_REACHING_SHARE * _capacity(
+        local
+    ):
+        return reaching
+    return [host for host in ready if host.reaches_targets]
+
+
+def _capacity(hosts: list[HostState]) -> int:
+    return sum(max(1, host.capacity) for host in hosts)
+
+
 def _large_hosts(hosts: list[HostState]) -> list[HostState]:
     """Returns the large hosts, or all if there are too few large ones."""
     largest = max((host.capacity for host in hosts), default=0)
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -54,6 +54,7 @@
         capacity: Relative size; the largest hosts follow the store.
         store: Its relation to the store.
         positions: Latest positions in the store that it has applied.
+        reaches_targets: Whether it reaches any target.
     """
 
     name: str
@@ -68,6 +69,7 @@
     capacity: int = 0
     store: StoreAccess = StoreAccess.IDLE
     positions: Positions = Positions()
+    reaches_targets: bool = True
 
 
 @dataclass(slots=True)
@@ -146,11 +148,12 @@
             return True
         peer.sequence += advance
         peer.last_heartbeat_at = max(peer.last_heartbeat_at, now - status.age_s)
-        state = peer.state
-        if (state.is_ready, state.store) != (status.is_ready, status.store):
-            state = state._replace(
-                is_ready=status.is_ready, store=StoreAccess(status.store)
-            )
+        state = peer.state._replace(
+            is_ready=status.is_ready,
+            store=StoreAccess(status.store),
+            reaches_targets=status.reaches_targets,
+        )
+        if state != peer.state:
             self._update(peer, state)
         return True
 
@@ -165,7 +168,12 @@
         """Returns the status of this host."""
         own = self.own
         return HostStatus(
-            self.own_id, own.sequence, 0.0, own.is_ready, own.store
+            self.own_id,
+            own.sequence,
+            0.0,
+            own.is_ready,
+            own.store,
+            own.reaches_targets,
         )
 
     def statuses(
@@ -180,6 +188,7 @@
                 max(0.0, now - peer.last_heartbeat_at),
                 peer.state.is_ready,
                 peer.state.store,
+                peer.state.reaches_targets,
             )
             for peer in peers
             if now - peer.last_heartbeat_at < self.silence_s(peer.state)
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -111,6 +111,12 @@
             load = self.loads[target_id] = TargetLoad()
         return load
 
+    def forget_failures(self) -> None:
+        """Forgets the connection failures of all targets."""
+        for load in self.loads.values():
+            load.failures = 0
+            load.retry_at = float("-inf")
+
     def forget(self, target_id: str) -> None:
         """Drops the state of a target that has left or restarted."""
         self.loads.pop(target_id, None)
--- a/packages/gateway/sardinewheel_gateway/policy/retries.py
+++ b/packages/gateway/sardinewheel_gateway/policy/retries.py
@@ -45,6 +45,11 @@
         self._expire(now)
         self.requests.append(now)
 
+    def withdraw_request(self) -> None:
+        """Takes back the last request, which another host counts instead."""
+        if self.requests:
+            self.requests.pop()
+
     def try_acquire(self, now: float) -> bool:
         """Returns whether a retry may be sent, and counts it if so."""
         self._expire(now)
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -137,6 +137,10 @@
         """Counts a request for the retry budget of a service."""
         self._budget(service).count_request(now)
 
+    def withdraw_request(self, service: str) -> None:
+        """Takes back the last count, as another host counts the request."""
+        self._budget(service).withdraw_request()
+
     def try_acquire_retry(self, service: str, now: float) -> bool:
         """Returns whether a retry may be sent, and counts it if so."""
         return self._budget(service).try_acquire(now)
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -23,6 +23,8 @@
 from sardinewheel_gateway.platform_adapter import PlatformAdapter
 from sardinewheel_gateway.policy.entry_hosts import entry_hosts
 from sardinewheel_gateway.policy.hosts import HostState, HostTable
+from sardinewheel_gateway.policy.peer_choice import PeerChoice
+from sardinewheel_gateway.policy.reachability import PathChange
 from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
 from sardinewheel_gateway.policy.updates import Positions, to_plain
 from sardinewheel_gateway.relay import requested_positions
@@ -35,6 +37,8 @@
 MAX_LOOKUP_ADDRESSES = 64
 STOP_ACCEPT_S = 2.5
 STOP_MARGIN_S = 0.8
+# Longer than other hosts keep idle connections.
+PEER_IDLE_TIMEOUT_S = 15.0
 UPDATE_CACHE_TTL_S = 0.3
 OK = 200
 NOT_FOUND = 404
@@ -59,7 +63,8 @@
         control: ``host:port`` that serves updates to other hosts and that
             they list as a seed.
         metrics: ``host:port`` that serves metrics.
-        gossip: ``host:port`` that receives datagrams from other hosts.
+        gossip: ``host:port`` that receives datagrams from other hosts, and
+            over TCP the requests that they forward.
         seeds: ``gossip`` addresses of other hosts, which may be stale.
         grace_s: Maximum seconds from the stop signal to process exit.
         max_lookup_ttl_s: Maximum seconds that callers may cache a look-up.
@@ -153,9 +158,11 @@
             routing_state=self.routing_state,
             permits=LimitPermits(self.routing_state, self.gossip),
             adapter=adapter,
+            peer_choice=PeerChoice(self.host_table, self.rng),
             metrics=self.metrics,
             log=self.log,
         )
+        self.forwarder.path_monitor.on_change = self._handle_path_change
         self.announcement_exchange = AnnouncementExchange(
             routing_state=self.routing_state,
             gossip=self.gossip,
@@ -175,6 +182,9 @@
             on_target_gone=self.forwarder.sender.pool.drop,
         )
         self.front = self._server(settings.front, self.forwarder.handle)
+        self.peer_server = self._server(
+            settings.gossip, self.forwarder.handle_peer
+        )
         self.internal_servers = [
             self._server(address, self._handle_internal)
             for address in dict.fromkeys(
@@ -197,7 +207,11 @@
             front=self.settings.front,
             incarnation=self.host_table.own.incarnation,
         )
-        for server in (self.front, *self.internal_servers):
+        for server in (
+            self.front,
+            self.peer_server,
+            *self.internal_servers,
+        ):
             server.start()
         self.gossip.start()
         keep_running("tick", self._tick_forever, self.log)
@@ -223,9 +237,19 @@
 
     def _handle_update_applied(self) -> None:
         if self.routing_state.configuration is not None:
-            self.front.limits = self.routing_state.configuration.limits
+            limits = self.routing_state.configuration.limits
+            self.front.limits = limits
+            self.peer_server.limits = limits._replace(
+                idle_timeout_s=PEER_IDLE_TIMEOUT_S
+            )
         self._update_readiness()
 
+    def _handle_path_change(self, change: PathChange) -> None:
+        """Tells other hosts, and forgets what the lost path made of targets."""
+        if not change.is_lost:
+            self.routing_state.loads.forget_failures()
+        self.gossip.update_own_state(reaches_targets=not change.is_lost)
+
     def _update_readiness(self) -> None:
         is_ready = (
             not self.is_shutting_down
@@ -250,6 +274,8 @@
                 self.routing_state.placer.objects.take_unsent()
             )
             self.forwarder.sender.pool.expire()
+            self.forwarder.peer_sender.pool.expire()
+            self.forwarder.peer_sender.choice.expire(now=now)
 
     def _handle_internal(self, exchange: Exchange) -> None:
         """Handles look-up, readiness, update and metrics requests."""
@@ -300,10 +326,14 @@
             ),
             "limited_targets": len(self.routing_state.announcements.limits),
             "hosts": len(self.host_table.live(now=clock.steady())),
-            "requests_under_way": len(self.front.in_progress),
+            "requests_under_way": self._requests_under_way(),
+            "peer_requests": self.forwarder.peer_requests,
             "caller_connections": len(self.front.connections),
         }
 
+    def _requests_under_way(self) -> int:
+        return len(self.front.in_progress) + len(self.peer_server.in_progress)
+
     def _known_hosts(self) -> dict[str, int]:
         """Returns the number of live hosts by region."""
         live = self.host_table.live(now=clock.steady())
@@ -323,19 +353,22 @@
         """
         began = clock.steady()
         self.is_shutting_down = True
-        self.front.is_shutting_down = True
-        self.log.info("stop-ordered", under_way=len(self.front.in_progress))
+        servers = (self.front, self.peer_server)
+        for server in servers:
+            server.is_shutting_down = True
+        self.log.info("stop-ordered", under_way=self._requests_under_way())
         self._update_readiness()
         end = began + self.settings.grace_s - STOP_MARGIN_S
         gevent.sleep(min(STOP_ACCEPT_S, self.settings.grace_s / 2))
         self.forwarder.is_refusing = True
-        self.front.stop_accepting()
-        self.front.close_idle()
-        while self.front.in_progress and clock.steady() < end:
+        for server in servers:
+            server.stop_accepting()
+            server.close_idle()
+        while self._requests_under_way() and clock.steady() < end:
             gevent.sleep(0.02)
         self.log.info(
             "process-stopped",
-            under_way=len(self.front.in_progress),
+            under_way=self._requests_under_way(),
             took_s=clock.steady() - began,
         )
         self.log.flush()
--- a/tests/cli/test_request_trace.py
+++ b/tests/cli/test_request_trace.py
@@ -170,3 +170,24 @@
     assert {x.fields["request"] for x in trace.request} == {"id-1"}
     assert trace.context == []
     assert trace.cause() == "The request was answered in time."
+
+
+def test_answered_by_another_host(start_gateway):
+    stranded = start_gateway(never_responds)
+    peer = start_gateway(sends_complete_response)
+    stranded.add_peer(peer.peer_address)
+    stranded.lose_path()
+    stranded.send_request()
+    lines = read([*stranded.lines(), *peer.lines()])
+    cause = RequestTrace.from_lines("id-1", lines).cause()
+    assert cause.startswith("The request was answered in time.")
+    assert "forwarded it to peer: answered 200 after" in cause
+
+
+def test_refused_since_no_host_reached_targets(start_gateway):
+    stranded = start_gateway(never_responds)
+    stranded.lose_path()
+    stranded.send_request()
+    assert trace_request(stranded).cause() == (
+        "Not run: the host reached no target, and no other host took it."
+    )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -24,6 +24,7 @@
 from sardinewheel_gateway.policy.cold_admission import ColdBound
 from sardinewheel_gateway.policy.hosts import HostTable
 from sardinewheel_gateway.policy.loads import ReportedLoad
+from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.retries import RetryBound
 from sardinewheel_gateway.policy.routes import Configuration, Limits, Service
 from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
@@ -212,6 +213,7 @@
             routing_state=self.routing_state,
             permits=LimitPermits(self.routing_state, self.gossip),
             adapter=StubAdapter(),
+            peer_choice=PeerChoice(self.gossip.host_table, rng),
             metrics=Metrics(),
             log=self.log,
         )
@@ -229,6 +231,28 @@
         )
         self.front.limits = LIMITS
         self.front.start()
+        self.peer_server = HttpServer(
+            ("127.0.0.1", 0), self.forwarder.handle_peer, self.log
+        )
+        self.peer_server.start()
+
+    @property
+    def reachability(self):
+        return self.forwarder.path_monitor.reachability
+
+    def lose_path(self):
+        """Lets this host believe that it reaches no target."""
+        self.reachability.is_lost = True
+
+    def add_peer(self, address, name="peer", **fields):
+        """Adds another host that serves forwarded requests at an address."""
+        self.gossip.host_table.record_heartbeat(
+            state(name, gossip=address, **fields), now=clock.steady()
+        )
+
+    @property
+    def peer_address(self):
+        return f"127.0.0.1:{self.peer_server.listener.server_port}"
 
     def connect(self):
         """Opens a connection to the gateway server."""
@@ -256,6 +280,7 @@
     def close(self):
         """Stops all servers."""
         self.front.listener.stop()
+        self.peer_server.listener.stop()
         self.gossip.stop()
         for target in self.targets.values():
             target.server.stop()
--- a/tests/gateway/policy/test_digests.py
+++ b/tests/gateway/policy/test_digests.py
@@ -13,6 +13,7 @@
     age_s=st.floats(0.0, digests.MAX_AGE_S),
     is_ready=st.booleans(),
     store=st.integers(0, 2),
+    reaches_targets=st.booleans(),
 )
 
 
--- a/tests/gateway/policy/test_entry_hosts.py
+++ b/tests/gateway/policy/test_entry_hosts.py
@@ -51,3 +51,28 @@
     hosts = region(2, 100)
     assert named(hosts)[:2] == ["large0:80", "large1:80"]
     assert len(named(hosts)) == 64
+
+
+def without_path(host):
+    return host._replace(reaches_targets=False)
+
+
+def test_callers_are_not_directed_to_hosts_that_reach_no_target():
+    hosts = [state("a"), without_path(state("b")), state("c", region="south")]
+    assert named(hosts) == ["a:80"]
+
+
+def test_callers_go_to_other_regions_if_no_host_of_theirs_reaches_targets():
+    hosts = [without_path(state("a")), state("c", region="south")]
+    assert named(hosts) == ["c:80"]
+
+
+def test_few_hosts_that_reach_targets_share_callers_with_other_regions():
+    hosts = [without_path(state(f"a{n}")) for n in range(9)]
+    hosts += [state("b"), state("c", region="south")]
+    assert named(hosts) == ["b:80", "c:80"]
+
+
+def test_hosts_without_a_path_are_named_if_no_other_host_is_ready():
+    hosts = [without_path(state("a")), without_path(state("b"))]
+    assert named(hosts) == ["a:80", "b:80"]
--- a/tests/gateway/test_operations_page.py
+++ b/tests/gateway/test_operations_page.py
@@ -15,6 +15,7 @@
 # Events logged through a variable or by the log module itself.
 INDIRECT = {
     "attempt-ended": "info",
+    "peer-attempt-ended": "info",
     "request-answered": "info",
     "request-refused": "info",
     "request-failed": "info",
--- a/tests/platform/gateway_group.py
+++ b/tests/platform/gateway_group.py
@@ -26,6 +26,8 @@
         gateways: Gateway processes.
         datagram_relays: Relay of the datagrams to each gateway.
         control_relays: Relay of other gateways' connections to each gateway.
+        peer_relays: Relay of the requests that other gateways forward to each
+            gateway.
         target_paths: Path of each gateway to the targets, if they are relayed.
     """
 
@@ -44,6 +46,12 @@
                 zip(self.store_relays, domains, strict=True)
             )
         ]
+        self.peer_relays = [
+            ConnectionRelay(
+                f"{x.ip}:{INTERNAL_PORT}", (x.relay_ip, INTERNAL_PORT)
+            )
+            for x in self.gateways
+        ]
         rng = random.Random(1)
         self.datagram_relays = [
             DatagramRelay(
@@ -61,7 +69,7 @@
         self.target_paths = []
 
     def relay_targets(self, targets):
-        """Puts relays between each gateway and the targets, before the start."""
+        """Puts relays between the gateways and targets, before the start."""
         for gateway in self.gateways:
             gateway.has_target_relays = True
             path = TargetPath(gateway)
@@ -91,5 +99,10 @@
             gateway.kill_if_running()
         for relay in (*self.datagram_relays, *self.target_paths):
             relay.close()
-        for server in (self.store, *self.store_relays, *self.control_relays):
+        for server in (
+            self.store,
+            *self.store_relays,
+            *self.control_relays,
+            *self.peer_relays,
+        ):
             server.server.stop()
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -10,7 +10,8 @@
 READ_BYTES = 65536
 CONNECTION_DELAY_S = 0.1
 CONNECT_TIMEOUT_S = 1.0
-BACKLOG = 1
+BACKLOG = 256
+NO_BACKLOG = 0
 FILL_TIMEOUT_S = 0.05
 MAX_FILLING = 16
 LOSS_PROBABILITY = 0.3
@@ -55,6 +56,7 @@
     def hang_new(self):
         """Lets new connections hang: they are neither accepted nor refused."""
         self.server.stop_accepting()
+        self.server.socket.listen(NO_BACKLOG)
         listener = (self.server.server_host, self.server.server_port)
         for _ in range(MAX_FILLING):
             try:
@@ -85,6 +87,7 @@
             self.server = StreamServer(address, self._relay, backlog=BACKLOG)
             self.server.start()
         else:
+            self.server.socket.listen(BACKLOG)
             self.server.start_accepting()
 
     def _relay(self, sock, _address):
