Bound what is received of a response without end

Cause: only time bounded a response. h11 bounds one message's head, so 1xx responses without end, chunked bodies, bodies until close and bodies with an absurd length were read until the deadline; bytes that are always ready kept all other greenlets, timeouts too, from running.

Change: 64 KB (and one block) before the end of the head, 256 MB of bodies, skipped ones too; other greenlets get a turn every 16 reads.

--- a/packages/gateway/sardinewheel_gateway/http_client.py
+++ b/packages/gateway/sardinewheel_gateway/http_client.py
@@ -19,6 +19,11 @@
 READ_BLOCK_BYTES = 64 * 1024
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 MAX_UNRELATED_RESPONSES = 2
+# All that may come before the head of the response ends, 1xx responses too.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 256 * 1024 * 1024
+# Reads after which other greenlets get a turn even if data is always ready.
+READS_PER_TURN = 16
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_KEEP_ALIVE_S = 4.0
@@ -157,6 +162,7 @@
         is_expected_response: Returns whether headers belong to the response
             to this request.
         is_reusable: Whether the connection may carry another request.
+        max_body_bytes: Size of the largest body that is received.
         keep_s: Seconds for which the connection may be kept for reuse.
         has_sent: Whether bytes may have been sent.
         is_streaming: Whether a part of the response is still unread.
@@ -166,8 +172,14 @@
         self,
         sock: socket.socket,
         is_expected_response: Callable[[Headers], bool],
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ):
         self.sock = sock
+        self.max_body_bytes = max_body_bytes
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.reads = 0
         self.is_expected_response = is_expected_response
         self.parser = h11.Connection(h11.CLIENT)
         self.is_reusable = False
@@ -274,21 +286,46 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = self.sock.recv(READ_BLOCK_BYTES)
+            data = self._receive()
             if not data and self.parser.their_state is h11.SEND_RESPONSE:
                 raise ResponseLostError("closed before an answer")
             self.parser.receive_data(data)
 
+    def _receive(self) -> bytes:
+        """Returns received bytes; ``b""`` at EOF.
+
+        Raises:
+            ResponseLostError: The head or the body is too large.
+        """
+        data = self.sock.recv(READ_BLOCK_BYTES)
+        if self.parser.their_state is h11.SEND_RESPONSE:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES + READ_BLOCK_BYTES:
+                raise ResponseLostError("the head of the answer has no end")
+        self.reads += 1
+        if self.reads % READS_PER_TURN == 0:
+            gevent.sleep(0)
+        return data
+
     def _parts(self) -> Iterator[bytes]:
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
+                self._count_body(len(event.data))
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
                 raise ResponseLostError("closed before the answer ended")
 
+    def _count_body(self, size: int) -> None:
+        """Counts received bytes of bodies, also of those that are skipped."""
+        self.body_bytes += size
+        if self.body_bytes > self.max_body_bytes:
+            raise ResponseLostError(
+                f"the body exceeds {self.max_body_bytes} bytes"
+            )
+
     def _read_response(self, head: h11.Response) -> IncomingResponse:
         headers = list(head.headers)
         parts = self._parts()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,12 +4,14 @@
 
 import gevent
 import pytest
+from sardinewheel_gateway import forwarding
 
 from tests.gateway.harness import (
     never_responds,
     read_all,
     refuses_to_execute,
     request,
+    request_id,
     response_to,
     sends_complete_response,
     truncates_response,
@@ -272,3 +274,54 @@
     harness.forwarder.is_refusing = True
     assert harness.send_request().startswith(b"HTTP/1.1 503 ")
     assert harness.request_count() == 0
+
+
+def drips(beginning):
+    """Returns a script that sends a beginning and then a byte at a time."""
+
+    def drip(sock, head, rest):
+        identity = f"X-Id: {request_id(head)}\r\nX-Proof: yes\r\n".encode()
+        sock.sendall(beginning.replace(b"ID", identity))
+        while True:
+            sock.sendall(b"1")
+            gevent.sleep(0.02)
+
+    return drip
+
+
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        b"",
+        b"HTTP/1.1 2",
+        b"HTTP/1.1 200 OK\r\nX-A: ",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\nID\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\nX-Id: other\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nID\r\n1;",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nID\r\n0\r\nX-A: ",
+        b"HTTP/1.1 200 OK\r\nID\r\n",
+    ],
+)
+def test_the_slowest_response_ends_at_the_route_timeout(
+    start_gateway, beginning
+):
+    harness = start_gateway(drips(beginning), timeout_s=0.3)
+    began = time.monotonic()
+    data = harness.send_request()
+    assert data.startswith((b"HTTP/1.1 504 ", b"HTTP/1.1 502 "))
+    assert time.monotonic() - began < 2.0
+    wait_until(lambda: not harness.front.in_progress)
+
+
+def test_the_slowest_streamed_response_ends_after_the_callers_deadline(
+    start_gateway, monkeypatch
+):
+    monkeypatch.setattr(forwarding, "STREAM_MARGIN_S", 0.3)
+    length = 1_000_000
+    beginning = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nID\r\n" % length
+    harness = start_gateway(drips(beginning + b"y" * 100_000))
+    began = time.monotonic()
+    data = harness.send_request(extra_headers="X-Remaining: 0.5\r\n")
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert len(data) < length
+    assert time.monotonic() - began < 3.0
