Cut gateways of the soak off from targets, and disrupt what they forward

Each now has relays of its own to the targets: connections hang, are reset, are refused, or live on while new ones are refused, to all targets or to some, at one, several or all gateways; targets see which gateway sent a request, also a forwarded one. Requests between gateways get a relay too, which delays, drops or resets.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -10,6 +10,8 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from tests.platform.target_paths import sender_number
+
 READ_BYTES = 65536
 SLOTS = 4
 
@@ -131,6 +133,15 @@
     return hashlib.sha256(request_id.encode()).hexdigest().encode()
 
 
+def sending_host(sock, request_id):
+    """Returns the number of the gateway that sent a request to a target.
+
+    Without relays to the targets, it is the one that the caller uses.
+    """
+    number = sender_number(sock.getpeername()[0])
+    return host_number(request_id) if number is None else number
+
+
 def host_number(request_id):
     """Returns the number of the gateway that a caller sent a request to."""
     return int(request_id.rpartition("-")[2])
@@ -144,12 +155,13 @@
         fault: Fault injected into a share of the requests: none (``""``),
             ``lose`` (executes, sends no response), ``shed`` (rejects),
             ``extra`` (sends the response twice) or ``half`` (truncates it).
-        on_request: Called with this target and the id of each request.
+        on_request: Called with this target, the id of each request and the
+            number of the gateway that sent it.
         silenced: Connections whose requests are ignored.
         announced: What it announces in its responses, if anything, until it
             starts again.
         on_ignored: Called with this target, the id of a request that ignores
-            what was announced, and a description.
+            what was announced, the gateway that sent it, and a description.
     """
 
     def __init__(
@@ -227,35 +239,34 @@
             if sock in self.silenced:
                 continue
             request_id = headers["sardinewheel-attempt-id"]
+            host = sending_host(sock, request_id)
             if headers["sardinewheel-target-instance"] != self.name:
                 self._send(sock, request_id, 421, b"")
                 continue
-            self._record_arrival(request_id)
+            self._record_arrival(request_id, host)
             fault = self.fault if self.rng.random() < 0.3 else ""
             is_refusing = self.announced is not None and self.announced.refuses
             if fault == "shed" or is_refusing or self.running >= SLOTS * 4:
                 extra_headers = "Sardinewheel-Not-Executed: 1\r\n"
                 self._send(sock, request_id, 503, b"", extra_headers)
                 continue
-            self.on_request(self, request_id)
+            self.on_request(self, request_id, host)
             self._execute(sock, request_id, fault)
             if fault in ("lose", "half"):
                 return
 
-    def _record_arrival(self, request_id):
-        """Checks a request against what this target announces."""
+    def _record_arrival(self, request_id, host):
+        """Checks a request of a host against what this target announces."""
         if self.announced is None:
             return
-        finding = self.announced.record_arrival(
-            host_number(request_id), time.monotonic()
-        )
+        finding = self.announced.record_arrival(host, time.monotonic())
         if finding is not None:
-            self.on_ignored(self, request_id, finding)
+            self.on_ignored(self, request_id, host, finding)
 
-    def _announcing_headers(self, request_id):
+    def _announcing_headers(self, sock, request_id):
         if self.announced is None:
             return ""
-        host = host_number(request_id)
+        host = sending_host(sock, request_id)
         self.announced.record_response(host, time.monotonic())
         return self.announced.headers
 
@@ -290,7 +301,7 @@
         head = (
             f"HTTP/1.1 {status} X\r\nSardinewheel-Attempt-Id: {request_id}\r\n"
             f"{seal}{extra_headers}Sardinewheel-Server-Load: {load}\r\n"
-            f"{self._announcing_headers(request_id)}"
+            f"{self._announcing_headers(sock, request_id)}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         data = head.encode() + body
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -30,11 +30,15 @@
         accepted_count: Number of connections accepted so far.
         last_silenced: Connections with this number or a lower one drop all
             data.
+        source_ip: Address that the target sees; any if empty.
         filling: Connections that fill the queue of the listener while new
             ones hang.
     """
 
-    def __init__(self, target_address, listen=("127.0.0.1", 0)):
+    def __init__(
+        self, target_address, listen=("127.0.0.1", 0), *, source_ip=""
+    ):
+        self.source_ip = source_ip
         host, _, port = target_address.rpartition(":")
         self.target = (host, int(port))
         self.mode = "ok"
@@ -102,7 +106,9 @@
     def _relay_connection(self, sock, number):
         try:
             other = socket.create_connection(
-                self.target, timeout=CONNECT_TIMEOUT_S
+                self.target,
+                timeout=CONNECT_TIMEOUT_S,
+                source_address=(self.source_ip, 0) if self.source_ip else None,
             )
         except OSError:
             sock.close()
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -9,6 +9,7 @@
 from tests.platform.soak.announced import Leaving, NamedLimit, Pause
 from tests.platform.soak.invariants import STORE_RECOVERY_S
 from tests.platform.soak.operators import probe_path
+from tests.platform.target_paths import CUTS
 
 GRACE_S = 6.0
 CONFIG_PROPAGATION_S = 2.5
@@ -63,6 +64,12 @@
             self.announce_leaving,
             self.ask_to_wait,
         ]
+        if soak.target_paths:
+            self.fault_kinds += [
+                self.cut_target_paths,
+                self.cut_part_of_targets,
+                self.disrupt_peer_connections,
+            ]
         self.phase_faults = self.fault_kinds
         self.phase_ends_at = 0.0
 
@@ -166,6 +173,33 @@
         gevent.sleep(self.rng.uniform(0.5, 4.0))
         relay.mode = "ok"
 
+    def disrupt_peer_connections(self):
+        """Makes requests that are forwarded to one gateway fail."""
+        relay = self.rng.choice(self.soak.peer_relays)
+        relay.mode = self.rng.choice(["delay", "silent", "one_way", "reset"])
+        gevent.sleep(self.rng.uniform(0.5, 4.0))
+        relay.mode = "ok"
+
+    def cut_target_paths(self):
+        """Cuts some or all of the gateways off from all targets."""
+        paths = [path for path in self.soak.target_paths if not path.how]
+        chosen = self.rng.sample(paths, self.rng.randint(0, len(paths)))
+        how = self.rng.choice(CUTS)
+        for path in chosen:
+            path.cut(how)
+        gevent.sleep(self.rng.uniform(1.0, 6.0))
+        for path in chosen:
+            path.heal()
+
+    def cut_part_of_targets(self):
+        """Cuts one gateway off from some of the targets."""
+        path = self.rng.choice(self.soak.target_paths)
+        if path.how:
+            return
+        path.cut(self.rng.choice(CUTS), share=self.rng.uniform(0.2, 0.8))
+        gevent.sleep(self.rng.uniform(1.0, 6.0))
+        path.heal()
+
     def crash_target(self):
         """Stops a target without deregistration and restarts it."""
         target = self.rng.choice(self.soak.targets)
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from tests.platform.fakes import Store, Target, host_number
+from tests.platform.fakes import Store, Target
 from tests.platform.gateway_process import (
     CONTROL_PORT,
     INTERNAL_PORT,
@@ -20,6 +20,7 @@
     InvariantChecker,
 )
 from tests.platform.soak.operators import SERVICE, Operators
+from tests.platform.target_paths import TargetPath
 
 START_TIMEOUT_S = 60.0
 MAX_FAULT_DURATION_S = 8.0
@@ -40,11 +41,22 @@
         domains: Failure domains.
         datagram_relays: Relay of the datagrams to each gateway.
         control_relays: Relay of other gateways' connections to each gateway.
+        peer_relays: Relay of the requests that other gateways forward to each
+            gateway.
+        target_paths: Path of each gateway to the targets, if they are relayed.
         peak_memory_kb: Highest peak memory of any gateway, in KB.
     """
 
     def __init__(
-        self, seed, folder, *, gateways=3, regions=1, targets=6, callers=8
+        self,
+        seed,
+        folder,
+        *,
+        gateways=3,
+        regions=1,
+        targets=6,
+        callers=8,
+        has_target_relays=True,
     ):
         self.rng = random.Random(seed)
         self.checker = InvariantChecker()
@@ -92,6 +104,15 @@
             )
             for x in self.gateways
         ]
+        self.peer_relays = [
+            ConnectionRelay(
+                f"{x.ip}:{INTERNAL_PORT}", (x.relay_ip, INTERNAL_PORT)
+            )
+            for x in self.gateways
+        ]
+        self.target_paths = []
+        if has_target_relays:
+            self._relay_targets()
         self.callers = Callers(self.gateways, self.checker, self.rng)
         self.caller_count = callers
         self.peak_memory_kb = 0
@@ -124,19 +145,31 @@
             self._stop_all()
         return self.checker.violations
 
+    def _relay_targets(self):
+        for gateway in self.gateways:
+            gateway.has_target_relays = True
+            self.target_paths.append(TargetPath(gateway))
+        for target in self.targets:
+            self._add_to_paths(target)
+
+    def _add_to_paths(self, target):
+        for path in self.target_paths:
+            path.add(target)
+
     def start_target(self, target):
         """Starts or restarts a target."""
         target.start()
+        self._add_to_paths(target)
         self.checker.record_target_joining(target.name)
 
-    def _on_target_request(self, target, request_id):
-        gateway = self.gateways[host_number(request_id)]
+    def _on_target_request(self, target, request_id, host):
+        gateway = self.gateways[host]
         self.checker.check_target_request(
             target, request_id, gateway, self.operators.evacuated
         )
 
-    def _on_ignored_announcement(self, target, request_id, finding):
-        gateway = self.gateways[host_number(request_id)]
+    def _on_ignored_announcement(self, target, request_id, host, finding):
+        gateway = self.gateways[host]
         self.checker.check_announcement(target, request_id, gateway, finding)
 
     def _wait_until_ready(self):
@@ -190,9 +223,14 @@
     def _stop_all(self):
         for gateway in self.gateways:
             gateway.kill_if_running()
-        for relay in self.datagram_relays:
+        for relay in (*self.datagram_relays, *self.target_paths):
             relay.close()
-        for server in (self.store, self.store_relay, *self.control_relays):
+        for server in (
+            self.store,
+            self.store_relay,
+            *self.control_relays,
+            *self.peer_relays,
+        ):
             server.server.stop()
 
 
--- a/tests/platform/target_paths.py
+++ b/tests/platform/target_paths.py
@@ -1,10 +1,17 @@
 """The path of each gateway to the targets, which can be cut."""
 
+from tests.platform.gateway_process import RELAY_IP_OFFSET
 from tests.platform.relays import ConnectionRelay
 
 CUTS = ("hang", "reset", "refuse", "refuse-new")
 
 
+def sender_number(source_ip):
+    """Returns the number of the gateway behind a relay; None without one."""
+    last = int(source_ip.rpartition(".")[2]) - RELAY_IP_OFFSET - 1
+    return last if last >= 0 else None
+
+
 class TargetPath:
     """Relays between one gateway and the targets.
 
@@ -12,21 +19,27 @@
         gateway: The gateway.
         relays: Relay to each target, by the port of the target.
         how: How the path is cut; empty while it is not.
+        is_whole: Whether it is cut to all targets, also to later ones.
     """
 
     def __init__(self, gateway):
         self.gateway = gateway
         self.relays = {}
         self.how = ""
+        self.is_whole = False
 
     def add(self, target):
-        """Adds a target that has started to listen."""
+        """Adds a target that has started to listen, if it is new."""
         port = target.server.server_port
+        if port in self.relays:
+            return
         relay = ConnectionRelay(
-            f"127.0.0.1:{port}", (self.gateway.relay_ip, port)
+            f"127.0.0.1:{port}",
+            (self.gateway.relay_ip, port),
+            source_ip=self.gateway.relay_ip,
         )
         self.relays[port] = relay
-        if self.how:
+        if self.how and self.is_whole:
             _cut(relay, self.how)
 
     def cut(self, how, *, share=1.0):
@@ -39,8 +52,8 @@
             share: Part of the targets.
         """
         relays = list(self.relays.values())
-        if share == 1.0:
-            self.how = how
+        self.how = how
+        self.is_whole = share == 1.0
         for relay in relays[: round(share * len(relays))]:
             _cut(relay, how)
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -18,5 +18,13 @@
 
 @pytest.mark.parametrize("seed", SILENT_STORE_SEEDS)
 def test_regression_seeds_hold(seed, tmp_path):
-    soak = Soak(seed, tmp_path, gateways=6, regions=2, targets=12, callers=12)
+    soak = Soak(
+        seed,
+        tmp_path,
+        gateways=6,
+        regions=2,
+        targets=12,
+        callers=12,
+        has_target_relays=False,
+    )
     assert soak.run(REGRESSION_DURATION_S) == []
