Move repeatable requests away from connections of a silent lost path

When the path to the targets is lost, requests under way that a target had already acknowledged waited until the route's timeout: nothing on such a connection fails. If a lost path has been silent for 0.5 s, open connections too, requests that may be repeated are now ended as lost and go to another host, as an attempt of their own, within the retry budget. Requests that may run once wait as before. Where old connections live on while new ones are refused, responses keep arriving, and nothing is given up.

Test: failed before (504 after the timeout), now 200 from the other host.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -70,6 +70,11 @@
     body: Body
     deadline: float
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may be sent again although it may have been executed."""
+        return self.route.is_idempotent and self.body.rest is None
+
 
 class Answered(NamedTuple):
     """A target's response, and the exchange that it was read from."""
@@ -140,6 +145,7 @@
         adapter: Parses and builds the platform's headers.
         path_monitor: Told which connections failed and which worked.
         pool: Idle connections to targets.
+        repeatable: Exchanges under way of requests that may be sent again.
         metrics: Counts new connections.
         on_announcement: Called with a target that responded and what the
             response announces; None if that cannot be read.
@@ -159,6 +165,7 @@
         self.path_monitor = path_monitor
         self.log = log
         self.pool = path_monitor.pool
+        self.repeatable: set[ClientExchange] = set()
         self.on_announcement: Callable[[Target, Announcement | None], None]
         self.on_announcement = lambda _target, _announcement: None
 
@@ -172,6 +179,8 @@
         try:
             with gevent.Timeout(request.deadline - began, False):
                 exchange = self._open(request, placed)
+                if request.is_repeatable:
+                    self.repeatable.add(exchange)
                 return self._send_and_receive(exchange, request, placed)
             if exchange is None or not exchange.has_sent:
                 return self._connect_failed(request, placed, "connect timeout")
@@ -183,9 +192,15 @@
             return Lost(str(error))
         finally:
             load.in_flight -= 1
+            self.repeatable.discard(exchange)
             if exchange is not None and not exchange.is_streaming:
                 self.return_connection(exchange, placed)
 
+    def give_up_repeatable(self) -> None:
+        """Ends the exchanges of requests that may be sent again as lost."""
+        for exchange in list(self.repeatable):
+            exchange.close()
+
     def return_connection(
         self, exchange: ClientExchange, placed: Placed
     ) -> None:
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -271,7 +271,7 @@
         """Returns whether the result of an attempt ends the request."""
         attempts_exhausted = len(self.tried) >= self.route.max_attempts
         can_resend = self.request.body.rest is None
-        can_repeat = can_resend and self.route.is_idempotent
+        can_repeat = self.request.is_repeatable
         match result:
             case TimedOut():
                 return True
--- a/packages/gateway/sardinewheel_gateway/path_monitor.py
+++ b/packages/gateway/sardinewheel_gateway/path_monitor.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.25
 # Between two rounds while the path is lost.
 ROUND_INTERVAL_S = 0.25
+# Silence on a lost path after which open connections count as dead too.
+MAX_SILENCE_S = 0.5
 
 
 class PathMonitor:
@@ -34,6 +36,8 @@
         routing_state: The targets.
         pool: Gets the connections that a round has opened.
         on_change: Called with each path that was lost or regained.
+        on_silence: Called once if a lost path stays silent on open
+            connections too.
         suspected: Set when a round should decide.
     """
 
@@ -50,6 +54,7 @@
         self.rng = rng
         self.log = log
         self.on_change: Callable[[PathChange], None] = lambda _change: None
+        self.on_silence: Callable[[], None] = lambda: None
         self.suspected = Event()
 
     def record_reached(self) -> None:
@@ -69,9 +74,8 @@
             self.suspected.wait()
             self.suspected.clear()
             self.run_round()
-            while self.reachability.is_lost:
-                gevent.sleep(ROUND_INTERVAL_S)
-                self.run_round()
+            if self.reachability.is_lost:
+                self._wait_until_regained()
 
     def run_round(self) -> None:
         """Opens a connection to several targets and records the result."""
@@ -93,6 +97,17 @@
             self._log_change(change)
             self.on_change(change)
 
+    def _wait_until_regained(self) -> None:
+        """Runs rounds until the path is back."""
+        is_silent = False
+        while self.reachability.is_lost:
+            gevent.sleep(ROUND_INTERVAL_S)
+            self.run_round()
+            silent_s = self.reachability.silent_s(now=clock.steady())
+            if silent_s >= MAX_SILENCE_S and not is_silent:
+                is_silent = True
+                self.on_silence()
+
     def _connect(self, target: Target) -> bool:
         """Returns whether the target accepts a connection, which is kept."""
         record = target.record
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -164,7 +164,7 @@
                 return can_resend and reason in HOST_REASONS
         attempts = len(self.forwarding.tried)
         has_attempts = attempts < request.route.max_attempts
-        return can_resend and has_attempts and request.route.is_idempotent
+        return has_attempts and request.is_repeatable
 
     def _log(self, peer: HostState, result: PeerResult, began: float) -> None:
         log = self.forwarding.log
--- a/packages/gateway/sardinewheel_gateway/policy/reachability.py
+++ b/packages/gateway/sardinewheel_gateway/policy/reachability.py
@@ -103,6 +103,12 @@
             return None
         return self._lose(now)
 
+    def silent_s(self, *, now: float) -> float:
+        """Returns for how long nothing was reached on a lost path; else 0."""
+        if not self.is_lost:
+            return 0.0
+        return now - max(self.changed_at, self.reached_at)
+
     def local_share(self, *, now: float) -> float:
         """Returns the share of requests to offer to targets from here."""
         if self.is_lost:
--- a/tests/gateway/test_peer_forwarding.py
+++ b/tests/gateway/test_peer_forwarding.py
@@ -293,3 +293,23 @@
     sock.sendall(request(extra_headers="Connection: close\r\n"))
     assert read_all(sock).startswith(b"HTTP/1.1 400 ")
     assert peer.request_count() == 0
+
+
+@pytest.mark.parametrize(
+    ("is_idempotent", "status"), [(True, b"200"), (False, b"504")]
+)
+def test_requests_under_way_on_a_silent_path_move_if_they_may_be_repeated(
+    start_gateway, is_idempotent, status
+):
+    fields = {"is_idempotent": is_idempotent, "timeout_s": 2.0}
+    scripts = [sends_complete_response] * 2
+    peer = start_gateway(*scripts, **fields)
+    host = start_gateway(never_responds, **fields)
+    host.add_peer(peer.peer_address)
+    sock = host.connect()
+    sock.sendall(request(extra_headers="Connection: close\r\n"))
+    wait_until(lambda: host.request_count() == 1)
+    host.forwarder.path_monitor.on_silence()
+    host.lose_path()
+    assert read_all(sock).startswith(b"HTTP/1.1 " + status)
+    assert peer.request_count() == is_idempotent
