Split the sending of responses from forwarding; end at once on a lost path

A request whose attempt failed on a lost path, and that no other host took, went on to further local targets, 0.3 s each; it is now refused (or ended as lost) at once, as before its first attempt.

--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -4,11 +4,7 @@
 from sardinewheel_gateway.attempts import Body, Sender
 from sardinewheel_gateway.errors import BodyTooLargeError
 from sardinewheel_gateway.exchange import Exchange
-from sardinewheel_gateway.forwarding import (
-    TOO_LARGE,
-    UNAVAILABLE,
-    Forwarding,
-)
+from sardinewheel_gateway.forwarding import Forwarding
 from sardinewheel_gateway.http_client import ConnectionPool
 from sardinewheel_gateway.limit_permits import LimitPermits
 from sardinewheel_gateway.metrics import Metrics, Series
@@ -20,6 +16,7 @@
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
+from sardinewheel_gateway.responder import TOO_LARGE, UNAVAILABLE
 
 MAX_REPEATABLE_BODY_BYTES = 64 * 1024
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -8,9 +8,8 @@
 
 import gevent
 
-from sardinewheel_gateway import clock, messages, peer_messages
+from sardinewheel_gateway import clock
 from sardinewheel_gateway.attempts import (
-    FIRST_ERROR_STATUS,
     Answered,
     AttemptResult,
     Body,
@@ -20,14 +19,13 @@
     TimedOut,
     result_detail,
 )
-from sardinewheel_gateway.errors import (
-    CallerGoneError,
-    ResponseLostError,
-)
 from sardinewheel_gateway.exchange import Exchange
-from sardinewheel_gateway.http_client import IncomingResponse
-from sardinewheel_gateway.metrics import Series
-from sardinewheel_gateway.peer_forwarding import PATH_LOST, PeerForwarding
+from sardinewheel_gateway.peer_forwarding import (
+    NOT_SENT,
+    PATH_LOST,
+    TARGETS_DOWN,
+    PeerForwarding,
+)
 from sardinewheel_gateway.peer_sender import PeerAnswered, PeerFailed
 from sardinewheel_gateway.platform_adapter import CallerInfo
 from sardinewheel_gateway.policy.placement import (
@@ -37,6 +35,7 @@
 )
 from sardinewheel_gateway.policy.reachability import Reachability
 from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.responder import Responder
 
 if TYPE_CHECKING:
     from sardinewheel_gateway.forwarder import Forwarder
@@ -45,13 +44,9 @@
 MAX_PERMIT_REFUSALS = 4
 DEFAULT_CALLER_TIMEOUT_S = 30.0
 MIN_ATTEMPT_S = 0.05
-STREAM_MARGIN_S = 5.0
 DEFAULT_RETRY_AFTER_S = 0.3
 PATH_LOST_RETRY_AFTER_S = 0.5
-TARGETS_DOWN = "targets-down"
-TOO_LARGE = 413
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
+PEER_FAILED = "peer-failed"
 GATEWAY_TIMEOUT = 504
 
 
@@ -68,6 +63,7 @@
         without_permit: Ids of the targets whose limit did not admit it.
         last_result: Result of the last attempt.
         peers: Forwarding to other hosts, if this one reaches no target.
+        responder: Sends the final response.
     """
 
     def __init__(
@@ -90,6 +86,7 @@
         self.without_permit: list[str] = []
         self.last_result: AttemptResult | None = None
         self.peers = PeerForwarding(self, forwarder.peer_sender)
+        self.responder = Responder(self)
         received_at = exchange.head.received_at
         caller_timeout_s = caller.remaining_s
         if caller_timeout_s is None:
@@ -168,7 +165,7 @@
             if self._is_final(self.last_result):
                 self._finish(self.last_result)
                 return
-            if self.reachability.is_lost and self._end_at_peer():
+            if self.reachability.is_lost and self._end_without_targets():
                 return
 
     def _prefers_peers(self) -> bool:
@@ -179,7 +176,7 @@
         return share < 1.0 and self.routing_state.rng.random() >= share
 
     def _end_without_targets(self) -> bool:
-        """Returns whether the request was ended without any attempt here."""
+        """Returns whether the request ended without a further attempt here."""
         if self._end_at_peer():
             return True
         if not self.reachability.is_lost:
@@ -202,13 +199,13 @@
         self.routing_state.withdraw_request(self.service)
         match result:
             case PeerAnswered():
-                self._send_peer_response(result)
+                self.responder.send_peer_response(result, self.peers.asked[-1])
             case PeerFailed(status, reason):
-                self._respond(status, reason, metric_reason="peer-failed")
+                self.responder.fail(status, reason, metric_reason=PEER_FAILED)
             case Lost(reason):
-                self._respond_lost(reason)
+                self.responder.lose(reason)
             case _:
-                self._respond_error(GATEWAY_TIMEOUT, "timeout")
+                self.responder.fail(GATEWAY_TIMEOUT, "timeout")
         return True
 
     def _acquire_permit(self, placed: Placed) -> bool:
@@ -297,21 +294,21 @@
             case Answered(response_info=response_info) if (
                 not response_info.was_executed
             ):
-                self._respond_unavailable(
+                self.responder.refuse(
                     Refused("target-refused", DEFAULT_RETRY_AFTER_S)
                 )
             case Answered():
-                self._send_response(result)
+                self.responder.send_response(result)
             case NotSent(reason):
                 if not self._end_at_peer():
-                    self._respond_unavailable(
+                    self.responder.refuse(
                         Refused(reason, DEFAULT_RETRY_AFTER_S),
-                        metric_reason="not-sent",
+                        metric_reason=NOT_SENT,
                     )
             case Lost(reason):
-                self._respond_lost(reason)
+                self.responder.lose(reason)
             case TimedOut():
-                self._respond_error(GATEWAY_TIMEOUT, "timeout")
+                self.responder.fail(GATEWAY_TIMEOUT, "timeout")
 
     def _refuse(self, refused: Refused) -> None:
         """Ends a request when no further attempt is possible."""
@@ -319,128 +316,8 @@
             case Answered(response_info=response_info) if (
                 response_info.was_executed
             ):
-                self._send_response(self.last_result)
+                self.responder.send_response(self.last_result)
             case Lost(reason):
-                self._respond_lost(reason)
+                self.responder.lose(reason)
             case _:
-                self._respond_unavailable(refused)
-
-    def _respond_unavailable(
-        self, refused: Refused, *, metric_reason: str | None = None
-    ) -> None:
-        self._respond(
-            UNAVAILABLE,
-            refused.reason,
-            metric_reason=metric_reason,
-            retry_after_s=refused.retry_after_s,
-            load=refused.load,
-        )
-
-    def _respond_lost(self, reason: str) -> None:
-        if self.exchange.body_is_too_large:
-            self._respond_error(TOO_LARGE, "body-too-large")
-        else:
-            self._respond(BAD_GATEWAY, reason, metric_reason="response-lost")
-
-    def _respond_error(self, status: int, reason: str) -> None:
-        self._respond(status, reason)
-
-    def _respond(self, status: int, reason: str, **fields) -> None:
-        self.forwarder.respond(
-            self.exchange,
-            self.request.caller,
-            status,
-            reason,
-            route=self.route.name,
-            service=self.service,
-            tried=",".join((*self.tried, *self.unreachable)),
-            **fields,
-        )
-
-    def _send_response(self, answered: Answered) -> None:
-        """Sends a target's response to the caller."""
-        response = answered.response
-        is_success = response.status < FIRST_ERROR_STATUS
-        if is_success and not answered.response_info.is_authentic:
-            self._respond_error(BAD_GATEWAY, "unproved answer")
-            return
-        placed = answered.placed
-        target_id = placed.target.record.target_id
-        headers = messages.end_to_end(response.headers)
-        if self.exchange.origin is not None:
-            headers = peer_messages.target_response_headers(headers, target_id)
-        if response.rest is None:
-            self.exchange.respond(response.status, headers, response.body)
-        else:
-            self._stream(response, headers)
-            self.sender.return_connection(answered.exchange, placed)
-            self.exchange.finish()
-        self._log_response(
-            response.status,
-            target=target_id,
-            choice=placed.choice,
-            load=placed.load,
-        )
-
-    def _send_peer_response(self, answered: PeerAnswered) -> None:
-        """Sends the response of a target that another host relayed."""
-        response = answered.response
-        info = self.forwarder.adapter.response_info(
-            response.status, answered.headers
-        )
-        target = self.routing_state.target_table.targets.get(answered.target_id)
-        if target is not None:
-            self.sender.on_announcement(target, info.announcement)
-        headers = messages.end_to_end(answered.headers)
-        peer = self.peers.asked[-1]
-        if response.rest is None:
-            self.exchange.respond(response.status, headers, response.body)
-        else:
-            self._stream(response, headers)
-            self.forwarder.peer_sender.return_connection(
-                answered.exchange, peer
-            )
-            self.exchange.finish()
-        self._log_response(
-            response.status, target=answered.target_id, peer=peer
-        )
-
-    def _log_response(self, status: int, **fields) -> None:
-        took_s = self.age_s
-        is_success = status < FIRST_ERROR_STATUS
-        series = Series(self.service, self.route.name, str(status))
-        self.forwarder.metrics.observe_request(series, took_s)
-        is_late = took_s > self.route.objective_s
-        is_routine = is_success and not is_late
-        if self.exchange.origin is not None:
-            fields["origin"] = self.exchange.origin.host
-        (self.log.request if is_routine else self.log.info)(
-            "request-answered",
-            request=self.request.caller.request_id,
-            status=status,
-            route=self.route.name,
-            service=self.service,
-            attempts=len(self.tried),
-            took_s=took_s,
-            late=is_late,
-            config=self.routing_state.version,
-            **fields,
-        )
-
-    def _stream(
-        self, response: IncomingResponse, headers: messages.Headers
-    ) -> None:
-        """Streams a response; aborts it if what is received is truncated."""
-        self.exchange.begin(response.status, headers)
-        self.exchange.send(response.body)
-        limit_s = self.caller_deadline - clock.steady() + STREAM_MARGIN_S
-        timeout_error = ResponseLostError(
-            "target response exceeded the caller's deadline"
-        )
-        try:
-            with gevent.Timeout(max(STREAM_MARGIN_S, limit_s), timeout_error):
-                for part in response.rest or ():
-                    self.exchange.send(part)
-        except ResponseLostError as error:
-            self.exchange.abort()
-            raise CallerGoneError(str(error)) from error
+                self.responder.refuse(refused)
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -32,7 +32,9 @@
 MAX_PEERS = 3
 MIN_FORWARD_S = 0.1
 PATH_LOST = "path-lost"
-NO_TARGET_REASONS = frozenset((PATH_LOST, "targets-down", "not-sent"))
+TARGETS_DOWN = "targets-down"
+NOT_SENT = "not-sent"
+NO_TARGET_REASONS = frozenset((PATH_LOST, TARGETS_DOWN, NOT_SENT))
 # Reasons that another host may not have.
 HOST_REASONS = NO_TARGET_REASONS | {
     "stopping",
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from sardinewheel_gateway import forwarding
+from sardinewheel_gateway import responder
 
 from tests.gateway.harness import (
     never_responds,
@@ -316,7 +316,7 @@
 def test_the_slowest_streamed_response_ends_after_the_callers_deadline(
     start_gateway, monkeypatch
 ):
-    monkeypatch.setattr(forwarding, "STREAM_MARGIN_S", 0.3)
+    monkeypatch.setattr(responder, "STREAM_MARGIN_S", 0.3)
     length = 1_000_000
     beginning = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nID\r\n" % length
     harness = start_gateway(drips(beginning + b"y" * 100_000))
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -20,6 +20,8 @@
 )
 INTERNAL_PORT = 17660
 RELAY_IP_OFFSET = 100
+# Not the address of the relays: a connection from it takes a port there.
+SOURCE_IP_OFFSET = 200
 SEED_COUNT = 2
 MIN_CPU_WAIT_S = 0.4
 NANOSECONDS_PER_S = 1e9
@@ -55,6 +57,7 @@
         name: Host name.
         ip: Loopback address that it listens on.
         relay_ip: Address that it announces to other gateways, if relayed.
+        source_ip: Address from which targets see its relayed connections.
         script: Python file that is run.
         has_target_relays: Whether it reaches targets at ``relay_ip``.
         is_paused: Whether it is stopped by SIGSTOP.
@@ -80,6 +83,7 @@
         net = f"127.0.{os.getpid() % 200 + 10}"
         self.ip = f"{net}.{number + 1}"
         self.relay_ip = f"{net}.{RELAY_IP_OFFSET + number + 1}"
+        self.source_ip = f"{net}.{SOURCE_IP_OFFSET + number + 1}"
         seeds = (f"{net}.{RELAY_IP_OFFSET + n + 1}" for n in range(SEED_COUNT))
         self.settings_path = folder / f"{self.name}.toml"
         self.settings_path.write_text(
--- a/tests/platform/target_paths.py
+++ b/tests/platform/target_paths.py
@@ -1,6 +1,6 @@
 """The path of each gateway to the targets, which can be cut."""
 
-from tests.platform.gateway_process import RELAY_IP_OFFSET
+from tests.platform.gateway_process import SOURCE_IP_OFFSET
 from tests.platform.relays import ConnectionRelay
 
 CUTS = ("hang", "reset", "refuse", "refuse-new")
@@ -8,7 +8,7 @@
 
 def sender_number(source_ip):
     """Returns the number of the gateway behind a relay; None without one."""
-    last = int(source_ip.rpartition(".")[2]) - RELAY_IP_OFFSET - 1
+    last = int(source_ip.rpartition(".")[2]) - SOURCE_IP_OFFSET - 1
     return last if last >= 0 else None
 
 
@@ -36,7 +36,7 @@
         relay = ConnectionRelay(
             f"127.0.0.1:{port}",
             (self.gateway.relay_ip, port),
-            source_ip=self.gateway.relay_ip,
+            source_ip=self.gateway.source_ip,
         )
         self.relays[port] = relay
         if self.how and self.is_whole:
