Emulate hosts that reach no target

The emulator knew hosts that fail as a whole, not hosts that only reach no target. Scenario hosts-stranded: six of eleven hosts lose their path from 10 to 20 s; callers keep using them, the worst case. The path is judged by the production policy, and requests go to the hosts that it chooses.

--- a/packages/testing/sardinewheel_testing/emulator/emulation.py
+++ b/packages/testing/sardinewheel_testing/emulator/emulation.py
@@ -82,6 +82,14 @@
         if failure.end_s:
             self.scheduler.call_later(failure.begin_s, self._fail_hosts)
             self.scheduler.call_later(failure.end_s, self._restart_hosts)
+        stranded = self.scenario.stranded
+        if stranded.end_s:
+            self.scheduler.call_later(
+                stranded.begin_s, lambda: self._cut_paths(is_cut=True)
+            )
+            self.scheduler.call_later(
+                stranded.end_s, lambda: self._cut_paths(is_cut=False)
+            )
         self.scheduler.run()
         executions = sum(
             (t.executions for t in self.targets.values()), Counter()
@@ -132,6 +140,7 @@
     def _run_maintenance(self) -> None:
         """Does what hosts do regularly, and shares what they have learned."""
         self._set_region_hosts()
+        self._send_heartbeats()
         self._share_announcements()
         for host in self.hosts.values():
             objects = host.routing_state.placer.objects
@@ -141,6 +150,20 @@
                     other.routing_state.placer.objects.merge(objects.unsent)
             objects.take_unsent()
 
+    def _cut_paths(self, *, is_cut: bool) -> None:
+        count = int(self.scenario.stranded_share * len(self.hosts))
+        for host in list(self.hosts.values())[:count]:
+            host.path.is_cut = is_cut
+
+    def _send_heartbeats(self) -> None:
+        now = self.scheduler.now
+        for host in self.hosts.values():
+            if host.has_failed:
+                continue
+            state = host.path.state
+            for other in self.hosts.values():
+                other.path.peers.host_table.record_heartbeat(state, now=now)
+
     def _set_region_hosts(self) -> None:
         for host in self.hosts.values():
             names = [x.name for x in self.advertised_hosts(host.region)]
--- a/packages/testing/sardinewheel_testing/emulator/hosts.py
+++ b/packages/testing/sardinewheel_testing/emulator/hosts.py
@@ -21,6 +21,7 @@
 )
 from sardinewheel_gateway.policy.targets import TargetRecord
 
+from sardinewheel_testing.emulator.paths import CONNECT_TIMEOUT_S, PathModel
 from sardinewheel_testing.emulator.scenario import SERVICE, Kind, Scenario
 from sardinewheel_testing.emulator.scheduler import Scheduler
 from sardinewheel_testing.emulator.targets import TargetModel, TargetRequest
@@ -73,6 +74,7 @@
         hosts: All hosts by name.
         has_failed: Whether the host has failed; it then no longer reports the
             results of its attempts.
+        path: Path of the host to the targets.
     """
 
     def __init__(
@@ -101,6 +103,14 @@
             },
             rng=random.Random(f"{seed}-{name}"),
         )
+        self.path = PathModel(
+            name,
+            region,
+            target_count=len(targets),
+            scheduler=scheduler,
+            rng=self.routing_state.rng,
+            on_regained=self.routing_state.loads.forget_failures,
+        )
         routes = tuple(kind.route() for kind in scenario.kinds)
         services = {SERVICE: Service(SERVICE, 400, 0.0, 100.0)}
         self.routing_state.configure(Configuration(1, routes, services, LIMITS))
@@ -133,10 +143,34 @@
         )
 
     def handle(self, attempt: Attempt) -> None:
+        """Starts to handle an attempt, which another host may place."""
+        if self.path.prefers_peers():
+            self._forward(attempt)
+        else:
+            self.place(attempt)
+
+    def place(self, attempt: Attempt) -> None:
         """Starts to handle an attempt that this host places."""
         self.routing_state.count_request(SERVICE, self.scheduler.now)
         self._place(attempt, frozenset())
 
+    def _forward(self, attempt: Attempt) -> None:
+        """Forwards an attempt to a host that reaches targets."""
+        name = self.path.choose_peer()
+        if name is None:
+            self._finish(attempt, AttemptResult(False, DEFAULT_RETRY_AFTER_S))
+            return
+        peer = self.hosts[name]
+        delay_s = network_delay_s(self.region, peer.region)
+
+        def on_result(result: AttemptResult) -> None:
+            self.scheduler.call_later(
+                delay_s, lambda: self._finish(attempt, result)
+            )
+
+        forwarded = attempt._replace(on_result=on_result)
+        self.scheduler.call_later(delay_s, lambda: peer.place(forwarded))
+
     def _place(
         self,
         attempt: Attempt,
@@ -219,6 +253,12 @@
         load = self.routing_state.loads.of(target.target_id)
         load.in_flight += 1
         delay_s = network_delay_s(self.region, target.region)
+        if self.path.is_cut:
+            self.scheduler.call_later(
+                CONNECT_TIMEOUT_S,
+                lambda: self._on_connect_timeout(attempt, placed, tried),
+            )
+            return
 
         def on_response(
             was_executed: bool, report: ReportedLoad, announcement: Announcement
@@ -240,6 +280,20 @@
         )
         self.scheduler.call_later(delay_s, lambda: target.receive(request))
 
+    def _on_connect_timeout(
+        self, attempt: Attempt, placed: Placed, tried: frozenset[str]
+    ) -> None:
+        """Places an attempt again, at another host if the path is lost."""
+        target_id = placed.target.record.target_id
+        now = self.scheduler.now
+        self.routing_state.loads.of(target_id).in_flight -= 1
+        self.routing_state.record_target_failure(placed.target, now)
+        self.path.record_failure(target_id)
+        if self.path.prefers_peers():
+            self._forward(attempt)
+        else:
+            self._place(attempt, tried, frozenset({target_id}))
+
     def _on_response(
         self,
         attempt: Attempt,
@@ -250,6 +304,10 @@
     ) -> None:
         target_id = placed.target.record.target_id
         now = self.scheduler.now
+        if self.path.is_cut:
+            self.routing_state.loads.of(target_id).in_flight -= 1
+            return
+        self.path.record_reached()
         self.routing_state.record_response(
             placed.target, response, is_error=False, now=now
         )
--- a/packages/testing/sardinewheel_testing/emulator/scenario.py
+++ b/packages/testing/sardinewheel_testing/emulator/scenario.py
@@ -89,6 +89,9 @@
         host_failure: The first host of each region fails at the start of this
             interval, with all requests that it holds, and starts again without
             state at the end.
+        stranded: Interval in which ``stranded_share`` of the hosts reach no
+            target; callers and other hosts still reach them.
+        stranded_share: Share of the hosts that reach none.
     """
 
     name: str
@@ -108,6 +111,8 @@
     limited_share: float = 0.2
     limit_per_s: float = 1.0
     host_failure: Span = NEVER
+    stranded: Span = NEVER
+    stranded_share: float = 0.6
 
 
 KINDS = (
@@ -130,5 +135,6 @@
             limit_per_s=8.0,
         ),
         Scenario("hosts-lost", KINDS, host_failure=Span(10.0, 20.0)),
+        Scenario("hosts-stranded", KINDS, stranded=Span(10.0, 20.0)),
     )
 }
--- a/tests/testing/emulator/test_emulation.py
+++ b/tests/testing/emulator/test_emulation.py
@@ -154,3 +154,25 @@
     emulation.run()
     assert scenario.duration_s > scenario.host_failure.end_s
     assert not any(host.has_failed for host in emulation.hosts.values())
+
+
+def test_callers_of_hosts_without_targets_are_served_as_before(runs):
+    """From 2 s after six of eleven hosts lost their path to the targets."""
+    run = runs["hosts-stranded"]
+    stranded = SCENARIOS["hosts-stranded"].stranded
+    points = dict(run.credit_ratio_over_time(1.0))
+    begin = int(stranded.begin_s)
+    before = sum(points[n] for n in range(begin - 4, begin)) / 4
+    cut = sum(points[n] for n in range(begin + 2, begin + 8)) / 6
+    assert cut > before - 0.1
+    assert run.duplicate_executions == 0
+
+
+def test_hosts_place_requests_again_when_their_path_is_back():
+    scenario = SCENARIOS["hosts-stranded"]
+    dispatch = DISPATCH_STRATEGIES["direct"]
+    emulation = Emulation(scenario, dispatch, seed=SEED)
+    emulation.run()
+    assert not any(
+        host.path.reachability.is_lost for host in emulation.hosts.values()
+    )
