Test refusals, return and stops around a lost path; use each request id once

Three tests with processes: callers are refused within 0.5 s if no host reaches targets; hosts serve by themselves again 3 s after a cut; a host that stops loses nothing that others forwarded to it.

One run of the test of cut paths showed a non-idempotent id (380-0) executed twice. Cause: the test's load counted up, then connected, which lets other greenlets run, and only then built the id from the counter, so two requests to one host could share an id. Ids are now built before connecting, also in the load of the limits test, where the flaw came from.

--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -46,11 +46,10 @@
 
     def _send(self, gateway):
         self.number += 1
+        request_id = f"{self.number}-{gateway.number}"
         sock = connect(gateway)
         key = self.rng.randint(1, OBJECT_COUNT)
-        data = request(
-            "GET", "/idempotent/x", f"{self.number}-{gateway.number}", key=key
-        )
+        data = request("GET", "/idempotent/x", request_id, key=key)
         response = exchange(sock, data)
         sock.close()
         self.statuses.append(response[0] if response else 0)
--- a/tests/platform/test_target_paths.py
+++ b/tests/platform/test_target_paths.py
@@ -1,11 +1,13 @@
 """Callers of a host that reaches no target are served by other hosts."""
 
 import random
+import signal
+import time
 
 import gevent
 import pytest
 
-from tests.platform.fakes import Target
+from tests.platform.fakes import Target, host_number
 from tests.platform.soak.callers import connect, exchange, request
 from tests.platform.target_paths import CUTS
 
@@ -19,6 +21,11 @@
 CONTACT_S = 4.0
 CUT_S = 8.0
 MIN_SERVED_RATIO = 2 / 3
+MIN_SERVED_AT_STOP_RATIO = 0.98
+MAX_REFUSAL_S = 0.5
+# Time after the end of a cut in which a host serves by itself again.
+RETURN_S = 3.0
+GRACE_S = 6.0
 
 
 class Load:
@@ -27,6 +34,7 @@
     Attributes:
         statuses: Status of each response by number of the host; 0 if there
             was none.
+        times_s: Seconds until each response, at any host.
         non_idempotent_ids: Ids of the requests that may run once only.
     """
 
@@ -35,6 +43,7 @@
         self.rng = random.Random(5)
         self.statuses = {gateway.number: [] for gateway in gateways}
         self.idle = {gateway.number: [] for gateway in gateways}
+        self.times_s = []
         self.non_idempotent_ids = set()
         self.number = 0
         self.task = gevent.spawn(self._send_forever)
@@ -46,6 +55,7 @@
 
     def forget(self):
         """Drops the statuses so far."""
+        self.times_s.clear()
         for statuses in self.statuses.values():
             statuses.clear()
 
@@ -56,16 +66,18 @@
 
     def _send(self, gateway):
         self.number += 1
+        request_id = f"{self.number}-{gateway.number}"
         idle = self.idle[gateway.number]
         sock = idle.pop() if idle else connect(gateway)
         kind = self.rng.choice(["idempotent", "non_idempotent"])
         key = self.rng.randint(1, OBJECT_COUNT)
-        request_id = f"{self.number}-{gateway.number}"
         if kind == "non_idempotent":
             self.non_idempotent_ids.add(request_id)
+        began = time.monotonic()
         response = exchange(
             sock, request("GET", f"/{kind}/x", request_id, key=key)
         )
+        self.times_s.append(time.monotonic() - began)
         self.statuses[gateway.number].append(response[0] if response else 0)
         if response and response[1].get("connection", "").lower() != "close":
             idle.append(sock)
@@ -75,9 +87,14 @@
 
 @pytest.fixture
 def group(make_group):
-    """Running hosts with relays to four targets, ``targets``."""
+    """Running hosts with relays to four targets, ``targets``.
+
+    ``senders`` has the host that a caller used and the one that sent its
+    request to a target, for each request.
+    """
     created = make_group(*DOMAINS)
     created.counts = {}
+    created.senders = []
     created.targets = [
         Target(
             f"t{number}",
@@ -86,7 +103,9 @@
             service="orders",
             domain=DOMAINS[number],
             rng=random.Random(number),
-            on_request=lambda *_: None,
+            on_request=lambda _, request_id, host: created.senders.append(
+                (host_number(request_id), host)
+            ),
         )
         for number in range(4)
     ]
@@ -113,3 +132,49 @@
     assert not [
         x for x in load.non_idempotent_ids if group.counts.get(x, 0) > 1
     ]
+
+
+def test_callers_are_refused_at_once_if_no_host_reaches_targets(group):
+    load = Load(group.gateways)
+    gevent.sleep(CALM_S)
+    for path in group.target_paths:
+        path.cut("reset")
+    gevent.sleep(CONTACT_S)
+    load.forget()
+    gevent.sleep(CUT_S - CONTACT_S)
+    load.task.kill()
+    statuses = {x for statuses in load.statuses.values() for x in statuses}
+    assert statuses == {503}
+    assert max(load.times_s) < MAX_REFUSAL_S
+
+
+def test_hosts_serve_by_themselves_again_after_a_cut(group):
+    load = Load(group.gateways)
+    gevent.sleep(CALM_S)
+    for number in STRANDED:
+        group.target_paths[number].cut("reset")
+    gevent.sleep(CONTACT_S)
+    assert all(used != host for used, host in group.senders[-20:] if used == 0)
+    for number in STRANDED:
+        group.target_paths[number].heal()
+    gevent.sleep(RETURN_S)
+    group.senders.clear()
+    load.forget()
+    gevent.sleep(CALM_S)
+    load.task.kill()
+    assert all(used == host for used, host in group.senders)
+    assert load.served_ratio(range(len(DOMAINS))) == 1.0
+
+
+def test_a_host_that_stops_loses_nothing_that_was_forwarded_to_it(group):
+    load = Load(group.gateways)
+    for number in STRANDED:
+        group.target_paths[number].cut("reset")
+    gevent.sleep(CONTACT_S)
+    load.forget()
+    group.gateways[1].terminate(signal.SIGTERM)
+    gevent.sleep(GRACE_S)
+    load.task.kill()
+    assert group.gateways[1].popen.poll() == 0
+    served = load.served_ratio(STRANDED)
+    assert served >= MIN_SERVED_AT_STOP_RATIO
