Use only open connections on a lost path that no other host can help with

Cause: on a lost path without other hosts, requests went on to targets if any idle connection was left, but to any target, so also to ones to which a new connection had to be opened, which hangs; and connections that had been reset stayed in the pool and counted.

Change: such a request may use only targets with a connection that is still open; when a lost path has been silent for 0.5 s, idle connections are closed like those of repeatable requests.

In the tests, Load and the relays of hosts stand once.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -196,8 +196,12 @@
             if exchange is not None and not exchange.is_streaming:
                 self.return_connection(exchange, placed)
 
-    def give_up_repeatable(self) -> None:
-        """Ends the exchanges of requests that may be sent again as lost."""
+    def give_up_connections(self) -> None:
+        """Closes idle connections, and those of requests that may be repeated.
+
+        These requests end as lost; others still wait for their responses.
+        """
+        self.pool.clear()
         for exchange in list(self.repeatable):
             exchange.close()
 
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -65,7 +65,7 @@
         self.sender = Sender(
             routing_state, adapter, metrics, self.path_monitor, log
         )
-        self.path_monitor.on_silence = self.sender.give_up_repeatable
+        self.path_monitor.on_silence = self.sender.give_up_connections
         self.peer_sender = PeerSender(peer_choice)
         self.peer_requests = 0
         self.is_refusing = False
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -61,6 +61,8 @@
         tried: Ids of the targets that it was sent to.
         unreachable: Ids of the targets to which connecting failed.
         without_permit: Ids of the targets whose limit did not admit it.
+        unopened: Ids of the targets without an open connection, if new ones
+            can't be opened.
         last_result: Result of the last attempt.
         peers: Forwarding to other hosts, if this one reaches no target.
         responder: Sends the final response.
@@ -84,6 +86,7 @@
         self.tried: list[str] = [] if origin is None else list(origin.tried)
         self.unreachable: list[str] = []
         self.without_permit: list[str] = []
+        self.unopened: frozenset[str] = frozenset()
         self.last_result: AttemptResult | None = None
         self.peers = PeerForwarding(self, forwarder.peer_sender)
         self.responder = Responder(self)
@@ -184,8 +187,11 @@
         if self.peers.refused is not None:
             self._refuse(self.peers.refused)
             return True
-        if self.sender.pool.idle:
-            # Open connections may still work when new ones do not.
+        # Open connections may still work when new ones do not.
+        open_targets = self.sender.pool.open_keys()
+        if open_targets - set(self.tried):
+            known = self.routing_state.target_table.targets
+            self.unopened = frozenset(known) - open_targets
             return False
         spread = 1.0 + self.routing_state.rng.random()
         self._refuse(Refused(PATH_LOST, PATH_LOST_RETRY_AFTER_S * spread))
@@ -261,7 +267,8 @@
             is_urgent=self.is_urgent,
             tried=frozenset(
                 (*self.tried, *self.unreachable, *self.without_permit)
-            ),
+            )
+            | self.unopened,
         )
 
     def _is_final(self, result: AttemptResult) -> bool:
--- a/packages/gateway/sardinewheel_gateway/http_client.py
+++ b/packages/gateway/sardinewheel_gateway/http_client.py
@@ -102,6 +102,24 @@
             stack.pop(0).sock.close()
         stack.append(IdleConnection(sock, now, now + keep_s))
 
+    def open_keys(self) -> set[str]:
+        """Returns the keys that have an open connection; closes broken ones."""
+        for key, stack in list(self.idle.items()):
+            kept = [x for x in stack if _has_no_pending_data(x.sock)]
+            for connection in stack:
+                if connection not in kept:
+                    connection.sock.close()
+            if kept:
+                self.idle[key] = kept
+            else:
+                del self.idle[key]
+        return set(self.idle)
+
+    def clear(self) -> None:
+        """Closes all idle connections."""
+        for key in list(self.idle):
+            self.drop(key)
+
     def drop(self, key: str) -> None:
         """Closes all idle connections of a key."""
         for connection in self.idle.pop(key, ()):
--- a/tests/gateway/test_peer_forwarding.py
+++ b/tests/gateway/test_peer_forwarding.py
@@ -313,3 +313,30 @@
     host.lose_path()
     assert read_all(sock).startswith(b"HTTP/1.1 " + status)
     assert peer.request_count() == is_idempotent
+
+
+def test_a_host_without_peers_offers_requests_on_open_connections_only(
+    start_gateway,
+):
+    host = start_gateway(sends_complete_response, sends_complete_response)
+    sock = host.connect()
+    sock.sendall(request())
+    wait_until(lambda: host.forwarder.sender.pool.idle)
+    for target in host.targets.values():
+        target.server.close()
+    host.lose_path()
+    for number in range(5):
+        data = host.send_request(number=number)
+        assert data.startswith(b"HTTP/1.1 200 ")
+    assert "target-failed" not in "".join(host.lines())
+
+
+def test_open_connections_of_a_silent_path_are_not_used(start_gateway):
+    host = start_gateway(sends_complete_response)
+    sock = host.connect()
+    sock.sendall(request())
+    wait_until(lambda: host.forwarder.sender.pool.idle)
+    host.lose_path()
+    host.forwarder.path_monitor.on_silence()
+    assert host.send_request(number=2).startswith(b"HTTP/1.1 503 ")
+    assert host.request_count() == 1
--- a/tests/platform/gateway_group.py
+++ b/tests/platform/gateway_group.py
@@ -10,7 +10,11 @@
     INTERNAL_PORT,
     GatewayProcess,
 )
-from tests.platform.relays import ConnectionRelay, DatagramRelay
+from tests.platform.relays import (
+    ConnectionRelay,
+    DatagramRelay,
+    host_relays,
+)
 from tests.platform.soak.operators import configuration
 from tests.platform.target_paths import TargetPath
 
@@ -46,12 +50,7 @@
                 zip(self.store_relays, domains, strict=True)
             )
         ]
-        self.peer_relays = [
-            ConnectionRelay(
-                f"{x.ip}:{INTERNAL_PORT}", (x.relay_ip, INTERNAL_PORT)
-            )
-            for x in self.gateways
-        ]
+        self.peer_relays = host_relays(self.gateways, INTERNAL_PORT)
         rng = random.Random(1)
         self.datagram_relays = [
             DatagramRelay(
@@ -59,12 +58,7 @@
             )
             for x in self.gateways
         ]
-        self.control_relays = [
-            ConnectionRelay(
-                f"{x.ip}:{CONTROL_PORT}", (x.relay_ip, CONTROL_PORT)
-            )
-            for x in self.gateways
-        ]
+        self.control_relays = host_relays(self.gateways, CONTROL_PORT)
 
         self.target_paths = []
 
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -141,6 +141,14 @@
                     sock.shutdown(socket.SHUT_RDWR)
 
 
+def host_relays(gateways, port):
+    """Returns a relay of the connections to one port of each gateway."""
+    return [
+        ConnectionRelay(f"{gateway.ip}:{port}", (gateway.relay_ip, port))
+        for gateway in gateways
+    ]
+
+
 class DatagramRelay:
     """A relay of the datagrams to one host.
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -12,7 +12,11 @@
     INTERNAL_PORT,
     GatewayProcess,
 )
-from tests.platform.relays import ConnectionRelay, DatagramRelay
+from tests.platform.relays import (
+    ConnectionRelay,
+    DatagramRelay,
+    host_relays,
+)
 from tests.platform.soak.callers import Callers
 from tests.platform.soak.faults import FaultInjector
 from tests.platform.soak.invariants import (
@@ -98,18 +102,8 @@
             )
             for x in self.gateways
         ]
-        self.control_relays = [
-            ConnectionRelay(
-                f"{x.ip}:{CONTROL_PORT}", (x.relay_ip, CONTROL_PORT)
-            )
-            for x in self.gateways
-        ]
-        self.peer_relays = [
-            ConnectionRelay(
-                f"{x.ip}:{INTERNAL_PORT}", (x.relay_ip, INTERNAL_PORT)
-            )
-            for x in self.gateways
-        ]
+        self.control_relays = host_relays(self.gateways, CONTROL_PORT)
+        self.peer_relays = host_relays(self.gateways, INTERNAL_PORT)
         self.target_paths = []
         if has_target_relays:
             self._relay_targets()
--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -7,6 +7,7 @@
 from sardinewheel_gateway.policy.limit_admission import TAKEOVER_WAIT_S
 
 from tests.platform.fakes import Target
+from tests.platform.load import Load
 from tests.platform.soak.announced import CONVERGENCE_S, WINDOW_S, NamedLimit
 from tests.platform.soak.callers import connect, exchange, request
 
@@ -20,33 +21,21 @@
 MIN_SHARE_RATIO = 0.5
 
 
-class Load:
-    """Callers that send requests to all hosts at a constant rate.
+class LimitLoad(Load):
+    """Callers that open a connection for each request.
 
     Attributes:
         statuses: Status of each response; 0 if there was none.
     """
 
+    requests_per_s = REQUESTS_PER_S
+
     def __init__(self, gateways):
-        self.gateways = gateways
-        self.rng = random.Random(3)
+        super().__init__(gateways, seed=3)
         self.statuses = []
-        self.number = 0
-        self.task = gevent.spawn(self._send_forever)
-
-    def stop(self):
-        """Sends no further requests and waits for the last responses."""
-        self.task.kill()
-        gevent.sleep(1.0)
-
-    def _send_forever(self):
-        while True:
-            gevent.spawn(self._send, self.rng.choice(self.gateways))
-            gevent.sleep(self.rng.expovariate(REQUESTS_PER_S))
-
-    def _send(self, gateway):
-        self.number += 1
-        request_id = f"{self.number}-{gateway.number}"
+
+    def send(self, gateway, request_id):
+        """Sends one request."""
         sock = connect(gateway)
         key = self.rng.randint(1, OBJECT_COUNT)
         data = request("GET", "/idempotent/x", request_id, key=key)
@@ -79,7 +68,7 @@
 
 def test_hosts_that_were_told_a_limit_keep_it_together(group):
     limit = NamedLimit(LIMIT_PER_S)
-    load = Load(group.gateways)
+    load = LimitLoad(group.gateways)
     gevent.sleep(UNLIMITED_S)
     group.targets[0].announced = limit
     gevent.sleep(CONVERGENCE_S + 1.5 * WINDOW_S)
@@ -90,7 +79,7 @@
 
 
 def test_limits_above_the_demand_turn_nobody_away(group):
-    load = Load(group.gateways)
+    load = LimitLoad(group.gateways)
     gevent.sleep(UNLIMITED_S + TAKEOVER_WAIT_S)
     for target in group.targets:
         target.announced = NamedLimit(REQUESTS_PER_S)
@@ -102,7 +91,7 @@
 
 def test_a_target_that_names_no_limit_any_more_gets_its_share_again(group):
     target = group.targets[0]
-    load = Load(group.gateways)
+    load = LimitLoad(group.gateways)
     gevent.sleep(UNLIMITED_S)
     target.announced = NamedLimit(LIMIT_PER_S)
     gevent.sleep(CONVERGENCE_S)
--- a/tests/platform/test_target_paths.py
+++ b/tests/platform/test_target_paths.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.platform.fakes import Target, host_number
+from tests.platform.load import Load
 from tests.platform.soak.callers import connect, exchange, request
 from tests.platform.target_paths import CUTS
 
@@ -28,25 +29,25 @@
 GRACE_S = 6.0
 
 
-class Load:
-    """Callers that send requests to all hosts, over kept connections.
+class PathLoad(Load):
+    """Callers that keep their connections.
 
     Attributes:
         statuses: Status of each response by number of the host; 0 if there
             was none.
         times_s: Seconds until each response, at any host.
         non_idempotent_ids: Ids of the requests that may run once only.
+        idle: Open connections by number of the host.
     """
 
+    requests_per_s = REQUESTS_PER_S
+
     def __init__(self, gateways):
-        self.gateways = gateways
-        self.rng = random.Random(5)
+        super().__init__(gateways, seed=5)
         self.statuses = {gateway.number: [] for gateway in gateways}
         self.idle = {gateway.number: [] for gateway in gateways}
         self.times_s = []
         self.non_idempotent_ids = set()
-        self.number = 0
-        self.task = gevent.spawn(self._send_forever)
 
     def served_ratio(self, numbers):
         """Returns the share of requests at the given hosts that were served."""
@@ -59,14 +60,8 @@
         for statuses in self.statuses.values():
             statuses.clear()
 
-    def _send_forever(self):
-        while True:
-            gevent.spawn(self._send, self.rng.choice(self.gateways))
-            gevent.sleep(self.rng.expovariate(REQUESTS_PER_S))
-
-    def _send(self, gateway):
-        self.number += 1
-        request_id = f"{self.number}-{gateway.number}"
+    def send(self, gateway, request_id):
+        """Sends one request, on an idle connection if there is one."""
         idle = self.idle[gateway.number]
         sock = idle.pop() if idle else connect(gateway)
         kind = self.rng.choice(["idempotent", "non_idempotent"])
@@ -118,7 +113,7 @@
 
 @pytest.mark.parametrize("how", CUTS)
 def test_callers_of_hosts_that_reach_no_target_are_served(group, how):
-    load = Load(group.gateways)
+    load = PathLoad(group.gateways)
     gevent.sleep(CALM_S)
     for number in STRANDED:
         group.target_paths[number].cut(how)
@@ -135,7 +130,7 @@
 
 
 def test_callers_are_refused_at_once_if_no_host_reaches_targets(group):
-    load = Load(group.gateways)
+    load = PathLoad(group.gateways)
     gevent.sleep(CALM_S)
     for path in group.target_paths:
         path.cut("reset")
@@ -149,7 +144,7 @@
 
 
 def test_hosts_serve_by_themselves_again_after_a_cut(group):
-    load = Load(group.gateways)
+    load = PathLoad(group.gateways)
     gevent.sleep(CALM_S)
     for number in STRANDED:
         group.target_paths[number].cut("reset")
@@ -167,7 +162,7 @@
 
 
 def test_a_host_that_stops_loses_nothing_that_was_forwarded_to_it(group):
-    load = Load(group.gateways)
+    load = PathLoad(group.gateways)
     for number in STRANDED:
         group.target_paths[number].cut("reset")
     gevent.sleep(CONTACT_S)
