--- a/conftest.py
+++ b/conftest.py
@@ -2,8 +2,13 @@
 
 from pathlib import Path
 
+import hypothesis
 import pytest
 
+# The same examples in each run, so that a commit gets the same verdict.
+hypothesis.settings.register_profile("repeatable", derandomize=True)
+hypothesis.settings.load_profile("repeatable")
+
 KNOWN_FAILURES_FILE = Path(__file__).parent / "KNOWN-RED.txt"
 SEPARATOR = " | "
 
