Log which requests were running when a target ended

The logs of the incident can't tell a request that crashes targets from targets that end by themselves: they name the object, not the request, and only single lost responses. attempt-ended now has the digest of the request (method, host, path, object, account, body); target-ended says that a target has ended, shown by a new connection that fails while this host reaches others, and what it ran. No decision uses it yet.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -26,6 +26,7 @@
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.policy.targets import Target
+from sardinewheel_gateway.target_end_monitor import LostRun, TargetEndMonitor
 
 CONNECT_TIMEOUT_S = 0.3
 IDEMPOTENT_IDLE_S = 8.0
@@ -62,6 +63,7 @@
         body: Request body.
         deadline: Time at which the final response is due, on the monotonic
             clock.
+        digest: Digest by which it is recognised when it comes again.
     """
 
     head: RequestHead
@@ -69,6 +71,7 @@
     route: Route
     body: Body
     deadline: float
+    digest: str = ""
 
     @property
     def is_repeatable(self) -> bool:
@@ -146,6 +149,7 @@
         path_monitor: Told which connections failed and which worked.
         pool: Idle connections to targets.
         repeatable: Exchanges under way of requests that may be sent again.
+        end_monitor: Told which requests got no response.
         metrics: Counts new connections.
         on_announcement: Called with a target that responded and what the
             response announces; None if that cannot be read.
@@ -166,6 +170,7 @@
         self.log = log
         self.pool = path_monitor.pool
         self.repeatable: set[ClientExchange] = set()
+        self.end_monitor = TargetEndMonitor(routing_state, path_monitor, log)
         self.on_announcement: Callable[[Target, Announcement | None], None]
         self.on_announcement = lambda _target, _announcement: None
 
@@ -189,6 +194,10 @@
             return self._connect_failed(request, placed, str(error))
         except ResponseLostError as error:
             self._target_failed(request, placed, str(error))
+            now = clock.steady()
+            self.end_monitor.record_lost(
+                placed.target, LostRun(request.digest, began, now)
+            )
             return Lost(str(error))
         finally:
             load.in_flight -= 1
@@ -292,6 +301,11 @@
         ):
             self.pool.drop(target.record.target_id)
             self.path_monitor.record_failure(target.record.target_id)
+            load = self.routing_state.loads.of(target.record.target_id)
+            last_sign = max(sent_at, load.last_response_at)
+            self.end_monitor.record_lost(
+                target, LostRun(request.digest, sent_at, last_sign)
+            )
             self.log.warning(
                 "target-silent",
                 request=request.caller.request_id,
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -35,6 +35,7 @@
 )
 from sardinewheel_gateway.policy.reachability import Reachability
 from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.request_digest import request_digest
 from sardinewheel_gateway.responder import Responder
 
 if TYPE_CHECKING:
@@ -97,7 +98,10 @@
         self.caller_deadline = deadline = received_at + caller_timeout_s
         if route.timeout_s is not None:
             deadline = min(deadline, received_at + route.timeout_s)
-        self.request = Request(exchange.head, caller, route, body, deadline)
+        digest = request_digest(exchange.head, caller.object_key, body.start)
+        self.request = Request(
+            exchange.head, caller, route, body, deadline, digest
+        )
 
     @property
     def route(self) -> Route:
@@ -255,6 +259,7 @@
             waited_s=began - self.exchange.head.received_at,
             took_s=clock.steady() - began,
             left_s=self.request.deadline - clock.steady(),
+            digest=self.request.digest,
             **limit_field,
         )
 
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -219,6 +219,13 @@
         self.usable_cache[service] = (self.revision, found)
         return found
 
+    def is_expected_to_run(self, target: Target) -> bool:
+        """Returns whether a target is known and has not announced its end."""
+        record = target.record
+        is_known = self.targets.get(record.target_id) is target
+        is_ending = record.is_draining or self._is_leaving(record)
+        return is_known and not is_ending
+
     def _is_leaving(self, record: TargetRecord) -> bool:
         return self.leaving.get(record.target_id) == record.started_ms
 
