--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -14,6 +14,9 @@
 
 READ_BYTES = 65536
 SLOTS = 4
+# Time that a request runs before it crashes its target.
+MIN_CRASH_S = 0.02
+MAX_CRASH_S = 0.3
 
 
 def read_request(sock, data):
@@ -155,6 +158,12 @@
         fault: Fault injected into a share of the requests: none (``""``),
             ``lose`` (executes, sends no response), ``shed`` (rejects),
             ``extra`` (sends the response twice) or ``half`` (truncates it).
+        crash_paths: Paths of requests that crash each target which runs them.
+        crash_how: ``close`` if open connections end with it, ``silent`` if
+            they only stop responding.
+        on_crash: Called with this target and the path of the request that
+            crashed it.
+        on_arrival: Called with this target and the path of each request.
         on_request: Called with this target, the id of each request and the
             number of the gateway that sent it.
         silenced: Connections whose requests are ignored.
@@ -175,6 +184,10 @@
         self.service = service
         self.rng = rng
         self.fault = ""
+        self.crash_paths = frozenset()
+        self.crash_how = "close"
+        self.on_crash = lambda *_: None
+        self.on_arrival = lambda *_: None
         self.on_ignored = lambda *_: None
         self.running = 0
         self.connections = set()
@@ -217,6 +230,22 @@
         for sock in list(self.connections):
             sock.close()
 
+    def _run_and_crash(self, sock, path):
+        """Runs a request for a moment, then ends with all connections."""
+        started = self.server
+        gevent.sleep(self.rng.uniform(MIN_CRASH_S, MAX_CRASH_S))
+        if started is not self.server or started is None:
+            return
+        if self.crash_how == "silent":
+            self.silence_open_connections()
+            self.server.stop()
+            self.server = None
+        else:
+            # The own connection last: closing it ends this greenlet.
+            self.connections.discard(sock)
+            self.crash()
+        self.on_crash(self, path)
+
     def silence_open_connections(self):
         """Ignores requests on open connections from now on; new ones work."""
         self.silenced |= self.connections
@@ -235,7 +264,7 @@
     def _serve_requests(self, sock):
         data = b""
         while request := read_request(sock, data):
-            _, headers, _, data = request
+            line, headers, _, data = request
             if sock in self.silenced:
                 continue
             request_id = headers["sardinewheel-attempt-id"]
@@ -244,6 +273,10 @@
                 self._send(sock, request_id, 421, b"")
                 continue
             self._record_arrival(request_id, host)
+            self.on_arrival(self, line[1])
+            if line[1] in self.crash_paths:
+                self._run_and_crash(sock, line[1])
+                return
             fault = self.fault if self.rng.random() < 0.3 else ""
             is_refusing = self.announced is not None and self.announced.refuses
             if fault == "shed" or is_refusing or self.running >= SLOTS * 4:
