--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -32,6 +32,7 @@
 # Within this time a host of the region has read the store, if it is available.
 CROSS_REGION_START_DELAY_S = 0.8
 MAX_PUSH_BYTES = 1300
+MAX_BODY_BYTES = 16 * 1024 * 1024
 OK = 200
 
 
@@ -164,7 +165,9 @@
             sock = http_client.connect(
                 peer.control, timeout_s=CONNECT_TIMEOUT_S
             )
-            exchange = http_client.ClientExchange(sock, lambda _: True)
+            exchange = http_client.ClientExchange(
+                sock, lambda _: True, max_body_bytes=MAX_BODY_BYTES
+            )
             try:
                 response = exchange.run(outgoing)
                 body = response.body + b"".join(response.rest or ())
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -13,6 +13,7 @@
 from sardinewheel_gateway.policy.updates import Positions, to_plain
 from sardinewheel_gateway.relay import (
     CROSS_REGION_START_DELAY_S,
+    MAX_BODY_BYTES,
     Relay,
     requested_positions,
 )
@@ -128,3 +129,23 @@
     assert applied == []
     assert "update-not-received" in relay.log.lines[-1]
     server.stop()
+
+
+def test_an_update_without_end_is_not_received(relay_to):
+    sent = []
+
+    def send_endless_body(sock, _address):
+        sock.recv(65536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while True:
+            sock.sendall(b"10000\r\n" + b"x" * 65536 + b"\r\n")
+            sent.append(65536)
+
+    server = StreamServer(("127.0.0.1", 0), send_endless_body)
+    server.start()
+    relay, applied = relay_to(server.server_port)
+    relay.catch_up()
+    assert applied == []
+    assert "the body exceeds" in relay.log.lines[-1]
+    assert sum(sent) < 2 * MAX_BODY_BYTES
+    server.stop()
