List refused requests and allow them again; explain such refusals

sardinewheel-crashes lists what any gateway refuses and lifts a refusal at all hosts (GET and DELETE of /v1/crashing-requests at the control address). sardinewheel-explain names the cause and shows crash-* lines of the request's digest only; refusals carry the digest.

--- a/packages/cli/sardinewheel_cli/request_trace.py
+++ b/packages/cli/sardinewheel_cli/request_trace.py
@@ -29,6 +29,7 @@
         "target-draining",
         "target-failed",
         "target-silent",
+        "target-ended",
         "target-joined",
     }
 )
@@ -47,6 +48,7 @@
         "target-path-regained",
     }
 )
+CRASH_EVENTS = frozenset({"crash-suspected", "crash-refused", "crash-cleared"})
 GATEWAY_REASONS = {
     "no-configuration": "the host had no configuration yet",
     "stopping": "the host was shutting down and started no new requests",
@@ -56,6 +58,7 @@
     "targets-limited": "its targets accept a limited rate, which was used up",
     "targets-paused": "its targets had asked this host to wait",
     "path-lost": "the host reached no target, and no other host took it",
+    "crashes-targets": "requests like it have crashed several targets",
     "no-route": "no route of the configuration in force allows it",
     "body-too-large": "its body is larger than the configuration allows",
     "unproved answer": "the target's answer could not be proved complete",
@@ -93,6 +96,7 @@
             return cls([], [], [])
         hosts = {line.host for line in own}
         targets = {line.fields.get("target", "") for line in own}
+        digests = {line.fields.get("digest", "") for line in own} - {""}
         first, last = (
             own[0].time - CONTEXT_BEFORE_S,
             own[-1].time + CONTEXT_AFTER_S,
@@ -102,7 +106,7 @@
             for line in lines
             if first <= line.time <= last
             and line not in own
-            and _is_relevant(line, hosts, targets)
+            and (_is_relevant(line, hosts, targets) or _is_about(line, digests))
         ]
         others = [
             line
@@ -313,6 +317,11 @@
     )
 
 
+def _is_about(line: LogLine, digests: set[str]) -> bool:
+    """Returns whether a line tells of the crashes under certain requests."""
+    return line.event in CRASH_EVENTS and line.fields.get("digest") in digests
+
+
 def _is_relevant(line: LogLine, hosts: set[str], targets: set[str]) -> bool:
     if line.event in TARGET_EVENTS:
         return line.fields.get("target") in targets
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -11,7 +11,7 @@
 import gevent
 import gevent.event
 
-from sardinewheel_gateway import clock
+from sardinewheel_gateway import clock, crash_operations
 from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.crash_exchange import CrashExchange
 from sardinewheel_gateway.exchange import Exchange
@@ -293,7 +293,7 @@
             self.forwarder.peer_sender.choice.expire(now=now)
 
     def _handle_internal(self, exchange: Exchange) -> None:
-        """Handles look-up, readiness, update and metrics requests."""
+        """Handles all requests but those that are meant for targets."""
         path = exchange.head.path
         lookup = self.adapter.lookup(path)
         if lookup is not None:
@@ -311,6 +311,8 @@
         elif (positions := requested_positions(path)) is not None:
             body = self._update_since(positions)
             exchange.respond(OK, CBOR_HEADERS, body)
+        elif crash_operations.is_crash_operation(path):
+            crash_operations.handle(exchange, self.crash_exchange)
         elif path.startswith(METRICS_PATH):
             body = self.metrics.text(
                 self._gauges(), self.log.events, self._known_hosts()
--- a/packages/gateway/sardinewheel_gateway/responder.py
+++ b/packages/gateway/sardinewheel_gateway/responder.py
@@ -66,6 +66,7 @@
             route=forwarding.route.name,
             service=forwarding.service,
             tried=",".join((*forwarding.tried, *forwarding.unreachable)),
+            digest=forwarding.request.digest,
             **fields,
         )
 
--- a/tests/cli/test_request_trace.py
+++ b/tests/cli/test_request_trace.py
@@ -6,6 +6,8 @@
 import gevent
 from sardinewheel_cli.log_lines import read
 from sardinewheel_cli.request_trace import RequestTrace
+from sardinewheel_gateway import clock
+from sardinewheel_gateway.policy.crash_suspects import Refusal
 
 from tests.gateway.harness import (
     never_responds,
@@ -191,3 +193,21 @@
     assert trace_request(stranded).cause() == (
         "Not run: the host reached no target, and no other host took it."
     )
+
+
+def test_refused_since_requests_like_it_crashed_targets(start_gateway):
+    harness = start_gateway(sends_complete_response)
+    harness.send_request()
+    digest = trace_request(harness).attempts[0].fields["digest"]
+    now = clock.steady()
+    harness.routing_state.crash_suspects.refuse(digest, Refusal(now, now, 3))
+    for about in (digest, "other"):
+        harness.log.warning(
+            "crash-refused", digest=about, losses=3, source="response"
+        )
+    harness.send_request()
+    trace = trace_request(harness)
+    assert trace.cause() == (
+        "Not run: requests like it have crashed several targets."
+    )
+    assert [x.fields["digest"] for x in trace.context] == [digest]
