--- a/packages/gateway/sardinewheel_gateway/crash_exchange.py
+++ b/packages/gateway/sardinewheel_gateway/crash_exchange.py
@@ -106,9 +106,7 @@
 
     def record_completion(self, digest: str, *, source: str = RESPONSE) -> None:
         """Records a request that ended well, or is allowed again."""
-        now = clock.steady()
-        if self.suspects.record_completion(digest, now):
-            self._handle_completion(Completion(digest, now), source)
+        self._complete(Completion(digest, clock.steady()), source)
 
     def lift(self, digest: str) -> bool:
         """Allows a refused request again; returns whether it was refused."""
@@ -167,8 +165,7 @@
             case Completion(digest, at):
                 if completed_at is not None and at <= completed_at:
                     return
-                if self.suspects.record_completion(digest, at):
-                    self._handle_completion(item, source)
+                self._complete(item, source)
             case Refused(digest, refusal):
                 if self.suspects.refuse(digest, refusal):
                     self._handle_refusal(item, source)
@@ -180,8 +177,18 @@
         self.news.add(loss)
         self.wakeup.set()
 
-    def _handle_completion(self, item: Completion, source: str) -> None:
-        self.log.info("crash-cleared", digest=item.digest, source=source)
+    def _complete(self, item: Completion, source: str) -> None:
+        """Records a good run; passes it on if it clears the request."""
+        digest = item.digest
+        was_refused = digest in self.suspects.refused
+        losses = self.suspects.loss_count(digest)
+        if not self.suspects.record_completion(digest, item.at):
+            return
+        # Most requests that ran where a target ended are lost just once.
+        if was_refused or losses >= NOT_REPEATED_AFTER:
+            self.log.info(
+                "crash-cleared", digest=digest, losses=losses, source=source
+            )
         self.news.add(item)
         self.wakeup.set()
 
