Let the registry show which targets ended when nothing else does; soak crashes

Lost runs whose target's end is not shown are now kept for 15 s, and count if the target is gone or has started again by then.

The soak gets requests that crash targets (beside kills, other crashes, cut paths): at most 3 arrivals later than 4 s after the third crash from hosts in touch whose datagrams are not disrupted, and no other request refused. Relays of a target that ended accepted connections for it, which no host of the users does; they refuse now.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -222,6 +222,11 @@
         for exchange in list(self.repeatable):
             exchange.close()
 
+    def forget_target(self, target_id: str) -> None:
+        """Handles the end of a target, or its new start, in the registry."""
+        self.pool.drop(target_id)
+        self.end_monitor.record_registry_end(target_id)
+
     def give_up_requests(self, digest: str) -> None:
         """Closes the connections of requests that crash their targets.
 
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -192,7 +192,7 @@
             rng=self.rng,
             store_silence_timeout_s=settings.store_silence_timeout_s,
             on_update_applied=self._handle_update_applied,
-            on_target_gone=self.forwarder.sender.pool.drop,
+            on_target_gone=sender.forget_target,
         )
         self.front = self._server(settings.front, self.forwarder.handle)
         self.peer_server = self._server(
--- a/packages/gateway/sardinewheel_gateway/target_end_monitor.py
+++ b/packages/gateway/sardinewheel_gateway/target_end_monitor.py
@@ -3,7 +3,9 @@
 A connection that ends before a response tells little: the target may have
 ended, lost one response, or closed one connection. A new connection decides.
 One that fails shows that the target has ended, provided that this host still
-reaches others: it may be this host's own path that is lost.
+reaches others: it may be this host's own path that is lost. Where that shows
+nothing, as all targets have ended or something between accepts connections for
+them, the registry does later: the target is gone, or has started again.
 """
 
 from collections.abc import Callable
@@ -23,7 +25,11 @@
 # Time in which another target has to be reached, for the path to be sound.
 PATH_TIMEOUT_S = 1.0
 PATH_CHECK_INTERVAL_S = 0.02
-MAX_ENDED = 256
+# Records of targets that ended expire, or are written anew, within this time.
+RESOLUTION_TIMEOUT_S = 15.0
+MAX_TARGETS = 256
+# Lost runs that are kept for one target.
+MAX_UNRESOLVED = 64
 MAX_LOGGED_DIGESTS = 16
 
 
@@ -49,6 +55,8 @@
         path_monitor: Whether this host reaches targets at all.
         on_loss: Called with each run that ended with its target.
         pending: Runs that were lost at a target which is being checked.
+        unresolved: Runs that were lost at a target whose end was not shown,
+            the latest last.
         ended: Targets that have ended, the latest last.
     """
 
@@ -60,6 +68,7 @@
         self.log = log
         self.on_loss: Callable[[str, Run], None] = lambda _digest, _run: None
         self.pending: dict[TargetStart, list[LostRun]] = {}
+        self.unresolved: dict[TargetStart, list[LostRun]] = {}
         self.ended: dict[TargetStart, None] = {}
 
     def record_lost(self, target: Target, lost: LostRun) -> None:
@@ -78,6 +87,14 @@
             self.pending[start] = [lost]
             gevent.spawn(self._check, target, start)
 
+    def record_registry_end(self, target_id: str) -> None:
+        """Records that a target's record is gone, or that it started again."""
+        now = clock.steady()
+        for start in [x for x in self.unresolved if x.target_id == target_id]:
+            runs = self.unresolved.pop(start)
+            if now - runs[-1].ended <= RESOLUTION_TIMEOUT_S:
+                self._end(start, runs, "registry")
+
     def _check(self, target: Target, start: TargetStart) -> None:
         """Reports the lost runs of a target if it has ended."""
         try:
@@ -85,14 +102,22 @@
             has_ended = bool(reason) and self._reaches_others(start)
         finally:
             runs = self.pending.pop(start)
-        if not has_ended:
-            self.log.debug(
-                "target-end-not-shown", target=start.target_id, reason=reason
-            )
+        if has_ended:
+            self._end(start, runs, reason)
             return
+        self.log.debug(
+            "target-end-not-shown", target=start.target_id, reason=reason
+        )
+        runs = self.unresolved.pop(start, []) + runs
+        self.unresolved[start] = runs[-MAX_UNRESOLVED:]
+        _drop_first(self.unresolved)
+
+    def _end(
+        self, start: TargetStart, runs: list[LostRun], reason: str
+    ) -> None:
+        """Reports the runs that were lost when a target ended."""
         self.ended[start] = None
-        if len(self.ended) > MAX_ENDED:
-            del self.ended[next(iter(self.ended))]
+        _drop_first(self.ended)
         digests = [run.digest for run in runs]
         self.log.warning(
             "target-ended",
@@ -130,3 +155,9 @@
 
     def _report(self, start: TargetStart, lost: LostRun) -> None:
         self.on_loss(lost.digest, Run(start, lost.began, lost.ended))
+
+
+def _drop_first(entries: dict) -> None:
+    """Drops the oldest entry if there are too many."""
+    if len(entries) > MAX_TARGETS:
+        del entries[next(iter(entries))]
--- a/tests/gateway/test_target_end_monitor.py
+++ b/tests/gateway/test_target_end_monitor.py
@@ -2,7 +2,10 @@
 
 import gevent
 import pytest
-from sardinewheel_gateway.target_end_monitor import PATH_TIMEOUT_S
+from sardinewheel_gateway.target_end_monitor import (
+    PATH_TIMEOUT_S,
+    RESOLUTION_TIMEOUT_S,
+)
 
 from tests.gateway.harness import sends_complete_response, wait_until
 
@@ -59,6 +62,25 @@
     assert any("target-end-not-shown" in x for x in gateway.lines())
 
 
+def test_a_target_that_starts_again_soon_has_ended(gateway, losses):
+    lose_requests(gateway)
+    wait_until(lambda: not gateway.forwarder.sender.end_monitor.pending)
+    gateway.forwarder.sender.forget_target("t0")
+    assert len(losses) == 1
+
+
+def test_a_target_that_starts_again_much_later_shows_nothing(gateway, losses):
+    lose_requests(gateway)
+    monitor = gateway.forwarder.sender.end_monitor
+    wait_until(lambda: monitor.unresolved)
+    (start,) = monitor.unresolved
+    (lost,) = monitor.unresolved[start]
+    earlier = lost.ended - RESOLUTION_TIMEOUT_S - 1.0
+    monitor.unresolved[start] = [lost._replace(ended=earlier)]
+    gateway.forwarder.sender.forget_target("t0")
+    assert losses == []
+
+
 def test_requests_under_way_when_a_target_ends_are_reported(gateway, losses):
     let_target_end(gateway, "closed")
     lose_requests(gateway)
@@ -99,6 +121,20 @@
     assert losses == []
 
 
+def test_the_registry_shows_which_targets_ended_when_none_is_reached(
+    gateway, losses
+):
+    gateway.targets["t1"].server.stop()
+    let_target_end(gateway, "closed")
+    lose_requests(gateway)
+    monitor = gateway.forwarder.sender.end_monitor
+    wait_until(lambda: monitor.unresolved)
+    gateway.forwarder.sender.forget_target("t1")
+    assert losses == []
+    gateway.forwarder.sender.forget_target("t0")
+    assert [run.target.target_id for _, run in losses] == ["t0"]
+
+
 def test_a_host_that_reaches_no_other_target_blames_none(gateway, losses):
     gateway.targets["t1"].server.stop()
     let_target_end(gateway, "closed")
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -163,7 +163,9 @@
             they only stop responding.
         on_crash: Called with this target and the path of the request that
             crashed it.
-        on_arrival: Called with this target and the path of each request.
+        on_arrival: Called with this target, the path of each request and the
+            number of the gateway that sent it.
+        on_end: Called with the port that it listened on.
         on_request: Called with this target, the id of each request and the
             number of the gateway that sent it.
         silenced: Connections whose requests are ignored.
@@ -188,6 +190,7 @@
         self.crash_how = "close"
         self.on_crash = lambda *_: None
         self.on_arrival = lambda *_: None
+        self.on_end = lambda _port: None
         self.on_ignored = lambda *_: None
         self.running = 0
         self.connections = set()
@@ -224,9 +227,7 @@
 
     def crash(self):
         """Closes all sockets and leaves its record in the store."""
-        if self.server is not None:
-            self.server.stop()
-            self.server = None
+        self._stop_listening()
         for sock in list(self.connections):
             sock.close()
 
@@ -238,14 +239,21 @@
             return
         if self.crash_how == "silent":
             self.silence_open_connections()
-            self.server.stop()
-            self.server = None
+            self._stop_listening()
         else:
             # The own connection last: closing it ends this greenlet.
             self.connections.discard(sock)
             self.crash()
         self.on_crash(self, path)
 
+    def _stop_listening(self):
+        # Stopping lets other greenlets run, which may start it again.
+        server, self.server = self.server, None
+        if server is not None:
+            port = server.server_port
+            server.stop()
+            self.on_end(port)
+
     def silence_open_connections(self):
         """Ignores requests on open connections from now on; new ones work."""
         self.silenced |= self.connections
@@ -273,7 +281,7 @@
                 self._send(sock, request_id, 421, b"")
                 continue
             self._record_arrival(request_id, host)
-            self.on_arrival(self, line[1])
+            self.on_arrival(self, line[1], host)
             if line[1] in self.crash_paths:
                 self._run_and_crash(sock, line[1])
                 return
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -58,7 +58,12 @@
         self.last_silenced = self.accepted_count
 
     def hang_new(self):
-        """Lets new connections hang: they are neither accepted nor refused."""
+        """Lets new connections hang: they are neither accepted nor refused.
+
+        If they are refused already, they still are.
+        """
+        if self.server.closed:
+            return
         self.server.stop_accepting()
         self.server.socket.listen(NO_BACKLOG)
         listener = (self.server.server_host, self.server.server_port)
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,6 +7,7 @@
 
 from tests.platform.soak import callers
 from tests.platform.soak.announced import Leaving, NamedLimit, Pause
+from tests.platform.soak.crashes import CONTACT_S
 from tests.platform.soak.invariants import STORE_RECOVERY_S
 from tests.platform.soak.operators import probe_path
 from tests.platform.target_paths import CUTS
@@ -18,6 +19,8 @@
 FAULTS_PER_PHASE = 3
 PLANNED_CHANGE_PROBABILITY = 0.5
 HTTP_NOT_FOUND = 404
+CRASHING_S = 9.0
+CRASHING_PER_S = 4.0
 
 
 class FaultInjector:
@@ -34,6 +37,8 @@
         fault_kinds: All kinds of faults.
         phase_faults: Kinds of faults in the current phase.
         phase_ends_at: Monotonic time at which the next phase starts.
+        datagrams_disrupted_until: Monotonic time until which hosts may not
+            have told each other what they know.
     """
 
     def __init__(self, soak, rng):
@@ -63,6 +68,7 @@
             self.name_limit,
             self.announce_leaving,
             self.ask_to_wait,
+            self.send_crashing_request,
         ]
         if soak.target_paths:
             self.fault_kinds += [
@@ -72,6 +78,7 @@
             ]
         self.phase_faults = self.fault_kinds
         self.phase_ends_at = 0.0
+        self.datagrams_disrupted_until = 0.0
 
     def inject_one(self):
         """Injects one change or fault and reverts it."""
@@ -207,6 +214,31 @@
         gevent.sleep(self.rng.uniform(0.1, 2.0))
         self.soak.start_target(target)
 
+    def send_crashing_request(self):
+        """Repeats a request that crashes targets, at random gateways."""
+        kind = self.rng.choice(["idempotent", "non_idempotent"])
+        path = f"/{kind}/crash/{len(self.soak.crashing)}"
+        self.soak.add_crashing(path)
+        end = time.monotonic() + CRASHING_S
+        while time.monotonic() < end:
+            gevent.spawn(self._send_crashing, path)
+            gevent.sleep(self.rng.expovariate(CRASHING_PER_S))
+
+    def _send_crashing(self, path):
+        gateway = self.rng.choice(self.soak.gateways)
+        sock = callers.connect(gateway)
+        if sock is not None:
+            request_id = f"{path}-{gateway.number}"
+            callers.exchange(
+                sock, callers.request("GET", path, request_id, key=7)
+            )
+            sock.close()
+
+    @property
+    def are_datagrams_disrupted(self):
+        """Whether hosts may not know yet what others know."""
+        return time.monotonic() < self.datagrams_disrupted_until
+
     def drain_target(self):
         """Drains a target, or deletes its record, and restarts it."""
         target = self.rng.choice(self.soak.targets)
@@ -310,7 +342,12 @@
         for sender, receiver in chosen:
             ip = self.soak.gateways[sender].ip
             self.soak.datagram_relays[receiver].modes[ip] = mode
-        gevent.sleep(self.rng.uniform(0.5, 6.0))
+        duration_s = self.rng.uniform(0.5, 6.0)
+        self.datagrams_disrupted_until = max(
+            self.datagrams_disrupted_until,
+            time.monotonic() + duration_s + CONTACT_S,
+        )
+        gevent.sleep(duration_s)
         for sender, receiver in chosen:
             ip = self.soak.gateways[sender].ip
             self.soak.datagram_relays[receiver].modes.pop(ip, None)
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -18,6 +18,11 @@
     host_relays,
 )
 from tests.platform.soak.callers import Callers
+from tests.platform.soak.crashes import (
+    RESTART_S,
+    CrashingRequest,
+    refused_digests,
+)
 from tests.platform.soak.faults import FaultInjector
 from tests.platform.soak.invariants import (
     MIN_POST_FAULT_REQUESTS,
@@ -47,7 +52,9 @@
         control_relays: Relay of other gateways' connections to each gateway.
         peer_relays: Relay of the requests that other gateways forward to each
             gateway.
+        faults: Injects faults and planned changes.
         target_paths: Path of each gateway to the targets, if they are relayed.
+        crashing: Requests that crash targets, by path.
         peak_memory_kb: Highest peak memory of any gateway, in KB.
     """
 
@@ -84,8 +91,12 @@
             )
             for n in range(targets)
         ]
+        self.crashing = {}
         for target in self.targets:
             target.on_ignored = self._on_ignored_announcement
+            target.on_crash = self._on_crash
+            target.on_arrival = self._on_arrival
+            target.on_end = self._on_target_end
         self.gateways = [
             GatewayProcess(
                 n,
@@ -110,10 +121,10 @@
         self.callers = Callers(self.gateways, self.checker, self.rng)
         self.caller_count = callers
         self.peak_memory_kb = 0
+        self.faults = FaultInjector(self, self.rng)
 
     def run(self, seconds):
         """Injects faults for some seconds, then returns violated invariants."""
-        faults = FaultInjector(self, self.rng)
         try:
             for gateway in self.gateways:
                 gateway.start()
@@ -128,13 +139,14 @@
             ]
             end = time.monotonic() + seconds
             while time.monotonic() < end:
-                gevent.spawn(faults.inject_one)
+                gevent.spawn(self.faults.inject_one)
                 gevent.sleep(self.rng.uniform(0.3, 1.5))
             self._settle()
             self.callers.is_stopped = True
             gevent.joinall(callers, timeout=10)
             gevent.killall(watches)
             self.checker.check_final()
+            self._check_crashing()
         finally:
             self._stop_all()
         return self.checker.violations
@@ -166,6 +178,40 @@
         gateway = self.gateways[host]
         self.checker.check_announcement(target, request_id, gateway, finding)
 
+    def add_crashing(self, path):
+        """Lets requests with a path crash each target that runs them."""
+        self.crashing[path] = CrashingRequest(path)
+        for target in self.targets:
+            target.crash_paths = frozenset(self.crashing)
+
+    def _on_target_end(self, port):
+        for path in self.target_paths:
+            path.remove(port)
+
+    def _on_crash(self, target, path):
+        self.crashing[path].record_crash()
+        gevent.spawn_later(RESTART_S, self.start_target, target)
+
+    def _on_arrival(self, _target, path, host):
+        if path in self.crashing:
+            is_excused = (
+                self.gateways[host].is_disturbed
+                or self.faults.are_datagrams_disrupted
+            )
+            self.crashing[path].record_arrival(is_excused=is_excused)
+
+    def _check_crashing(self):
+        """Checks that crashing requests were refused, and no others."""
+        for request in self.crashing.values():
+            if request.violation:
+                self.checker.record_violation(request.violation)
+        refused = refused_digests(self.gateways)
+        if len(refused) > len(self.crashing):
+            self.checker.record_violation(
+                f"{len(refused)} requests refused as crashing targets, "
+                f"{len(self.crashing)} did: {sorted(refused)}"
+            )
+
     def _wait_until_ready(self):
         deadline = time.monotonic() + START_TIMEOUT_S
         while not all(g.is_ready() for g in self.gateways):
--- a/tests/platform/target_paths.py
+++ b/tests/platform/target_paths.py
@@ -42,6 +42,12 @@
         if self.how and self.is_whole:
             _cut(relay, self.how)
 
+    def remove(self, port):
+        """Refuses new connections to a target that has ended."""
+        relay = self.relays.pop(port, None)
+        if relay is not None:
+            relay.refuse_new()
+
     def cut(self, how, *, share=1.0):
         """Cuts the gateway off from the first ``share`` of the targets.
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """A request that crashes each target that runs it is not sent for ever."""
 
 import random
-import re
 import time
 from typing import NamedTuple
 
@@ -11,20 +10,21 @@
 from tests.platform.fakes import Target
 from tests.platform.load import Load
 from tests.platform.soak.callers import connect, exchange, request
+from tests.platform.soak.crashes import (
+    CONTACT_S,
+    CRASHES_UNTIL_KNOWN,
+    MAX_LATE_ARRIVALS,
+    RESTART_S,
+    refused_digests,
+)
 
 DOMAINS = ("north-a", "north-b", "east-a", "east-b")
 TARGET_COUNT = 12
-RESTART_S = 3.0
 REQUESTS_PER_S = 30.0
 CRASHING_PER_S = 4.0
 OBJECT_COUNT = 40
 CALM_S = 1.5
-# From the third crash on, the users allow this time and so many arrivals.
-CONTACT_S = 4.0
-CRASHES_UNTIL_KNOWN = 3
-MAX_LATE_ARRIVALS = 3
 CRASHING_S = 10.0
-REFUSED_LINE = re.compile(r"event=crash-refused digest=(\w+)")
 MIN_SERVED_RATIO = 0.98
 MAX_REFUSAL_S = 0.5
 POPULAR = "/idempotent/popular"
@@ -159,8 +159,7 @@
 
     def refused_digests(self):
         """Returns the digests of the requests that any host refuses."""
-        logs = [x.log_path.read_text() for x in self.group.gateways]
-        return set(REFUSED_LINE.findall("".join(logs)))
+        return refused_digests(self.group.gateways)
 
     def _third_crash(self, path):
         times = [at for at, crashed in self.crashes if crashed == path]
@@ -172,7 +171,7 @@
         self.crashes.append((time.monotonic(), path))
         gevent.spawn_later(RESTART_S, target.start)
 
-    def _on_arrival(self, target, path):
+    def _on_arrival(self, target, path, _host):
         self.arrivals.append((time.monotonic(), path))
 
 
