Never send a negative age of news of crashes

Found by rereading: the time of a round is read before its datagrams are sent; a refused request that comes in between has a later time, so its age was negative and the receiver dropped the whole datagram. The unit test failed first.

--- a/packages/gateway/sardinewheel_gateway/policy/crash_news.py
+++ b/packages/gateway/sardinewheel_gateway/policy/crash_news.py
@@ -102,12 +102,13 @@
 def _item_to_plain(item: Item, now: float) -> list:
     match item:
         case Loss(digest, Run((target_id, started_ms), began, ended)):
-            ages = (now - began, now - ended)
+            ages = _age_s(began, now), _age_s(ended, now)
             return [LOSS, digest, target_id, started_ms, *ages]
         case Completion(digest, at):
-            return [COMPLETION, digest, now - at]
+            return [COMPLETION, digest, _age_s(at, now)]
         case Refused(digest, Refusal(since, asked_at, losses)):
-            return [REFUSAL, digest, losses, now - since, now - asked_at]
+            ages = _age_s(since, now), _age_s(asked_at, now)
+            return [REFUSAL, digest, losses, *ages]
     raise TypeError(f"{item!r} is no news")
 
 
@@ -130,6 +131,14 @@
     raise ValueError(f"kind {kind!r} of news")
 
 
+def _age_s(time: float, now: float) -> float:
+    """Returns the seconds since a time; 0 if it is after ``now``.
+
+    An item may have changed since ``now`` was read.
+    """
+    return max(0.0, now - time)
+
+
 def _time(
     age_s: float, now: float, *, max_age_s: float = REFUSAL_EXPIRY_S
 ) -> float:
--- a/tests/gateway/policy/test_crash_news.py
+++ b/tests/gateway/policy/test_crash_news.py
@@ -30,6 +30,12 @@
     assert refused.refusal == Refusal(107.0, 108.0, 3)
 
 
+def test_times_after_the_present_are_sent_as_the_present():
+    plain = crash_news.to_plain(ITEMS, now=4.0)
+    for item in crash_news.from_plain(plain, now=4.0):
+        assert item.digest == DIGEST
+
+
 @pytest.mark.parametrize(
     "plain",
     [
