--- a/packages/gateway/sardinewheel_gateway/target_end_monitor.py
+++ b/packages/gateway/sardinewheel_gateway/target_end_monitor.py
@@ -89,11 +89,12 @@
 
     def record_registry_end(self, target_id: str) -> None:
         """Records that a target's record is gone, or that it started again."""
-        now = clock.steady()
+        earliest = clock.steady() - RESOLUTION_TIMEOUT_S
         for start in [x for x in self.unresolved if x.target_id == target_id]:
             runs = self.unresolved.pop(start)
-            if now - runs[-1].ended <= RESOLUTION_TIMEOUT_S:
-                self._end(start, runs, "registry")
+            recent = [run for run in runs if run.ended >= earliest]
+            if recent:
+                self._end(start, recent, "registry")
 
     def _check(self, target: Target, start: TargetStart) -> None:
         """Reports the lost runs of a target if it has ended."""
--- a/tests/gateway/test_target_end_monitor.py
+++ b/tests/gateway/test_target_end_monitor.py
@@ -81,6 +81,18 @@
     assert losses == []
 
 
+def test_each_lost_run_counts_for_a_while_only(gateway, losses):
+    lose_requests(gateway)
+    monitor = gateway.forwarder.sender.end_monitor
+    wait_until(lambda: monitor.unresolved)
+    (start,) = monitor.unresolved
+    (lost,) = monitor.unresolved[start]
+    old = lost._replace(ended=lost.ended - RESOLUTION_TIMEOUT_S - 1.0)
+    monitor.unresolved[start] = [old, lost]
+    gateway.forwarder.sender.forget_target("t0")
+    assert [run.ended for _, run in losses] == [lost.ended]
+
+
 def test_requests_under_way_when_a_target_ends_are_reported(gateway, losses):
     let_target_end(gateway, "closed")
     lose_requests(gateway)
