Authenticate client accounts and read a target's speed of the moment

A load report with a fourth figure was discarded as a whole, so targets on shared machines counted as without any report.

Change: policy/accounts.py (digests of keys only, found in one dict look-up), Configuration.accounts, Route.is_open, common_homes of route and account, 401 for unknown keys, the account's name to targets in place of the key, urgency by account. Updates between hosts carry accounts in a trailing element only if there are any, so hosts without accounts still read them. ReportedLoad.slowdown is read; nothing decides by it yet. Limits of accounts are not kept yet.

Ruled out: keys in clear in updates between hosts (digests suffice).

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -21,9 +21,10 @@
     PlatformAdapter,
     ResponseInfo,
 )
+from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.placement import Placed
-from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.policy.targets import Target
 from sardinewheel_gateway.target_end_monitor import LostRun, TargetEndMonitor
@@ -64,6 +65,7 @@
         deadline: Time at which the final response is due, on the monotonic
             clock.
         digest: Digest by which it is recognised when it comes again.
+        account: The caller's account, if any.
     """
 
     head: RequestHead
@@ -72,6 +74,12 @@
     body: Body
     deadline: float
     digest: str = ""
+    account: Account | None = None
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """Regions that may execute the request; empty for all."""
+        return common_homes(self.route, self.account)
 
     @property
     def is_repeatable(self) -> bool:
@@ -321,9 +329,16 @@
             messages.end_to_end(head.headers),
             target_id=target_id,
             remaining_s=max(MIN_REMAINING_S, left_s),
+            account=self._account_name(request),
         )
         return outgoing_request(request, headers)
 
+    def _account_name(self, request: Request) -> str | None:
+        """Returns the account name for targets; None without accounts."""
+        if request.account is not None:
+            return request.account.name
+        return "" if self.routing_state.account_table else None
+
     def _connect_failed(
         self, request: Request, placed: Placed, reason: str
     ) -> NotSent:
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -13,8 +13,9 @@
 from sardinewheel_gateway.peer_messages import Origin
 from sardinewheel_gateway.peer_sender import PeerSender
 from sardinewheel_gateway.platform_adapter import CallerInfo, PlatformAdapter
+from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
-from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.responder import TOO_LARGE, UNAVAILABLE
 
@@ -25,7 +26,9 @@
 # Requests of other hosts handled at the same time, each of which may take
 # ``MAX_REPEATABLE_BODY_BYTES`` and two connections.
 MAX_PEER_REQUESTS = 256
+NO_COMMON_HOME_RETRY_AFTER_S = 5.0
 BAD_REQUEST = 400
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 
 
@@ -85,12 +88,15 @@
         route = self._route(exchange, caller)
         if route is None:
             return
+        account = self.routing_state.account_table.find(caller.key_digest)
+        if not self._admit_account(exchange, caller, route, account):
+            return
         try:
             body = _buffer_body(exchange)
         except BodyTooLargeError:
             self.respond(exchange, caller, TOO_LARGE, "body-too-large")
             return
-        Forwarding(self, exchange, caller, route, body).run()
+        Forwarding(self, exchange, caller, route, account, body).run()
 
     def handle_peer(self, exchange: Exchange) -> None:
         """Handles one request that another host forwards."""
@@ -146,6 +152,32 @@
             self.respond(exchange, caller, NOT_FOUND, "no-route")
         return route
 
+    def _admit_account(
+        self,
+        exchange: Exchange,
+        caller: CallerInfo,
+        route: Route,
+        account: Account | None,
+    ) -> bool:
+        """Returns whether a caller may use a route; responds if not."""
+        needs_key = self.routing_state.account_table and not route.is_open
+        if account is None and needs_key:
+            self.respond(exchange, caller, UNAUTHORIZED, "unknown-key")
+            return False
+        try:
+            common_homes(route, account)
+        except ValueError as error:
+            self.log.warning("homes-contradict", reason=str(error))
+            self.respond(
+                exchange,
+                caller,
+                UNAVAILABLE,
+                "no-common-home",
+                retry_after_s=NO_COMMON_HOME_RETRY_AFTER_S,
+            )
+            return False
+        return True
+
     def respond(
         self,
         exchange: Exchange,
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -28,6 +28,7 @@
 )
 from sardinewheel_gateway.peer_sender import PeerAnswered, PeerFailed
 from sardinewheel_gateway.platform_adapter import CallerInfo
+from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.placement import (
     Placed,
     PlacementRequest,
@@ -78,6 +79,7 @@
         exchange: Exchange,
         caller: CallerInfo,
         route: Route,
+        account: Account | None,
         body: Body,
     ):
         self.forwarder = forwarder
@@ -103,7 +105,7 @@
             deadline = min(deadline, received_at + route.timeout_s)
         digest = request_digest(exchange.head, caller.object_key, body.start)
         self.request = Request(
-            exchange.head, caller, route, body, deadline, digest
+            exchange.head, caller, route, body, deadline, digest, account
         )
 
     @property
@@ -119,7 +121,9 @@
     @property
     def is_urgent(self) -> bool:
         """Whether its service also has routes of a lower priority."""
-        return self.routing_state.is_urgent(self.route, self.service)
+        return self.routing_state.is_urgent(
+            self.route, self.service, self.request.account
+        )
 
     @property
     def age_s(self) -> float:
@@ -290,6 +294,8 @@
                 (*self.tried, *self.unreachable, *self.without_permit)
             )
             | self.unopened,
+            account=self.request.account,
+            deadline=self.request.deadline,
         )
 
     def _is_final(self, result: AttemptResult) -> bool:
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -118,7 +118,7 @@
             return None
         return self.sender.choice.choose(
             self.forwarding.service,
-            home_regions=request.route.home_regions,
+            home_regions=request.home_regions,
             excluded=self.asked,
             now=now,
         )
--- a/packages/gateway/sardinewheel_gateway/platform_adapter.py
+++ b/packages/gateway/sardinewheel_gateway/platform_adapter.py
@@ -15,11 +15,14 @@
         remaining_s: Seconds that the caller will wait; None if absent.
         object_key: Key of the object that the request concerns; empty if
             absent.
+        key_digest: Digest of the caller's key, see ``policy.accounts``; empty
+            without a key.
     """
 
     request_id: str
     remaining_s: float | None
     object_key: str
+    key_digest: bytes = b""
 
 
 class ResponseInfo(NamedTuple):
@@ -72,9 +75,23 @@
         """Parses the request metadata in a caller's headers."""
 
     def target_request_headers(
-        self, headers: Headers, *, target_id: str, remaining_s: float
+        self,
+        headers: Headers,
+        *,
+        target_id: str,
+        remaining_s: float,
+        account: str | None = None,
     ) -> Headers:
-        """Returns the request headers to send to a target."""
+        """Returns the request headers to send to a target.
+
+        Args:
+            headers: Headers that the caller sent.
+            target_id: Target that is to execute the request.
+            remaining_s: Seconds left until the deadline.
+            account: Name of the caller's account, empty for a caller without
+                one; ``None`` if there are no accounts, so that the caller's own
+                headers are passed on.
+        """
 
     def is_response_to(self, headers: Headers, request_id: str) -> bool:
         """Returns whether a response belongs to a request."""
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -15,11 +15,14 @@
         running: Requests in execution.
         waiting: Requests in its queue.
         slots: Requests that it executes concurrently.
+        slowdown: Time that work takes there at this moment, relative to the
+            usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 class TargetLoad:
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -7,9 +7,11 @@
 targets is refused before it uses any target capacity.
 """
 
+import math
 import random
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.announcements import (
     AnnouncementTable,
     Limit,
@@ -18,7 +20,7 @@
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
-from sardinewheel_gateway.policy.routes import Route
+from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.targets import Target, TargetTable
 
 # Estimated requests at a target, divided by its slots: the load from which the
@@ -49,6 +51,9 @@
         is_urgent: Whether its priority is higher than the lowest priority
             among the routes of its service.
         tried: Ids of targets that were already tried, also unreachable ones.
+        account: The caller's account, if any.
+        deadline: Time at which the caller stops waiting, on the monotonic
+            clock.
     """
 
     service: str
@@ -56,6 +61,13 @@
     object_key: str
     is_urgent: bool
     tried: frozenset[str] = frozenset()
+    account: Account | None = None
+    deadline: float = math.inf
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """Regions that may execute it; empty for all."""
+        return common_homes(self.route, self.account)
 
 
 class Placed(NamedTuple):
@@ -206,7 +218,7 @@
 
     def _usable(self, request: PlacementRequest) -> UsableTargets:
         source = self.target_table.usable(request.service)
-        homes = request.route.home_regions
+        homes = request.home_regions
         known = self.usable.get((request.service, homes))
         if known is not None and known.source is source:
             return known
--- a/packages/gateway/sardinewheel_gateway/policy/routes.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routes.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.accounts import Account
+
 
 class Share(NamedTuple):
     """A service that receives a portion of a route's requests.
@@ -33,6 +35,7 @@
         has_affinity: Whether targets are faster on objects that they have
             already handled.
         home_regions: Regions that may execute the requests; empty for all.
+        is_open: Whether callers need no key although there are accounts.
     """
 
     name: str
@@ -46,6 +49,7 @@
     max_attempts: int
     has_affinity: bool
     home_regions: frozenset[str]
+    is_open: bool = False
 
 
 class Service(NamedTuple):
@@ -89,12 +93,37 @@
         routes: All routes.
         services: All services, by name.
         limits: Limits on requests of callers.
+        accounts: All client accounts; without any, callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    accounts: tuple[Account, ...] = ()
+
+
+def common_homes(route: Route, account: Account | None) -> frozenset[str]:
+    """Returns the regions that may execute an account's requests on a route.
+
+    Returns:
+        Empty for all regions.
+
+    Raises:
+        ValueError: The homes of the route and of the account have no region in
+            common.
+    """
+    if account is None or not account.home_regions:
+        return route.home_regions
+    if not route.home_regions:
+        return account.home_regions
+    common = route.home_regions & account.home_regions
+    if not common:
+        raise ValueError(
+            f"route {route.name!r} and account {account.name!r} have no home"
+            " region in common"
+        )
+    return common
 
 
 class RouteTable:
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.accounts import Account, AccountTable
 from sardinewheel_gateway.policy.announcements import (
     Announcement,
     AnnouncementTable,
@@ -57,6 +58,7 @@
     Attributes:
         configuration: The configuration in force, if any is known.
         route_table: Routes of the configuration.
+        account_table: Client accounts of the configuration.
         splits: Distributes the requests of a route among services.
         target_table: The targets.
         loads: Load and health of the targets.
@@ -85,6 +87,7 @@
         self.rng = rng
         self.configuration: Configuration | None = None
         self.route_table = RouteTable(())
+        self.account_table = AccountTable()
         self.splits = SplitChooser()
         self.target_table = TargetTable()
         self.loads = LoadTable()
@@ -114,14 +117,16 @@
         """Applies a configuration if it is newer; returns whether it was."""
         if configuration.version <= self.version:
             return False
+        account_table = AccountTable(configuration.accounts)
         self.configuration = configuration
+        self.account_table = account_table
         self.route_table = RouteTable(configuration.routes)
         self.splits.keep(configuration.routes)
         self.placer.objects.keep(route.name for route in configuration.routes)
         for name, service in configuration.services.items():
             self.target_table.cold_periods_s[name] = service.cold_period_s
             self.placer.cold_rates[name] = service.cold_rate_per_s
-        self._index_priorities(configuration.routes)
+        self._index_priorities(configuration)
         return True
 
     def route(self, host: str, path: str) -> Route | None:
@@ -132,9 +137,17 @@
         """Returns the service for the next request of a route."""
         return self.splits.choose(route)
 
-    def is_urgent(self, route: Route, service: str) -> bool:
-        """Returns whether a service also has routes of a lower priority."""
-        return route.priority < self.lowest_priorities.get(service, 0)
+    def is_urgent(
+        self, route: Route, service: str, account: Account | None = None
+    ) -> bool:
+        """Returns whether a service also gets requests of a lower priority.
+
+        The priority of an account, if it has one, goes before the route's.
+        """
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        return priority < self.lowest_priorities.get(service, 0)
 
     def count_request(self, service: str, now: float) -> None:
         """Counts a request for the retry budget of a service."""
@@ -250,13 +263,15 @@
             budget.hosts = self.hosts
         return budget
 
-    def _index_priorities(self, routes: tuple[Route, ...]) -> None:
+    def _index_priorities(self, configuration: Configuration) -> None:
         self.lowest_priorities.clear()
-        for route in routes:
+        priorities = {account.priority for account in configuration.accounts}
+        of_accounts = max(priorities - {None}, default=0)
+        accounts_follow_routes = not priorities or None in priorities
+        for route in configuration.routes:
+            lowest = of_accounts
+            if accounts_follow_routes or route.is_open:
+                lowest = max(lowest, route.priority)
             for share in route.shares:
-                lowest = self.lowest_priorities.get(
-                    share.service, route.priority
-                )
-                self.lowest_priorities[share.service] = max(
-                    lowest, route.priority
-                )
+                known = self.lowest_priorities.get(share.service, 0)
+                self.lowest_priorities[share.service] = max(known, lowest)
--- a/packages/gateway/sardinewheel_gateway/policy/updates.py
+++ b/packages/gateway/sardinewheel_gateway/policy/updates.py
@@ -6,6 +6,7 @@
 
 from typing import Any, NamedTuple
 
+from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.objects import ObjectUse
 from sardinewheel_gateway.policy.routes import (
     Configuration,
@@ -135,18 +136,29 @@
 
 
 def _plain_config(configuration: Configuration) -> list[Any]:
-    return [
+    plain = [
         configuration.version,
         [_plain_route(route) for route in configuration.routes],
         [list(service) for service in configuration.services.values()],
         list(configuration.limits),
     ]
+    # Hosts of versions without accounts read four elements.
+    if configuration.accounts:
+        plain.append([_plain_account(x) for x in configuration.accounts])
+    return plain
+
+
+def _plain_account(account: Account) -> list[Any]:
+    homes = sorted(account.home_regions)
+    return list(account._replace(home_regions=homes))
 
 
 def _plain_route(route: Route) -> list[Any]:
     shares = tuple(list(share) for share in route.shares)
     homes = sorted(route.home_regions)
-    return list(route._replace(shares=shares, home_regions=homes))
+    plain = list(route._replace(shares=shares, home_regions=homes))
+    # Hosts of versions without accounts do not read the last field.
+    return plain if route.is_open else plain[:-1]
 
 
 def _plain_targets(update: TargetsUpdate | None) -> list[Any] | None:
@@ -168,13 +180,22 @@
 
 
 def _configuration(plain: list[Any]) -> Configuration:
-    version, routes, services, limits = plain
+    version, routes, services, limits, *more = plain
     typed = [Service(*service) for service in services]
     return Configuration(
         version,
         tuple(_route(route) for route in routes),
         {service.name: service for service in typed},
         Limits(*limits),
+        tuple(_account(account) for account in (more[0] if more else ())),
+    )
+
+
+def _account(plain: list[Any]) -> Account:
+    account = Account(*plain)
+    return account._replace(
+        key_digests=tuple(account.key_digests),
+        home_regions=frozenset(account.home_regions),
     )
 
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -61,12 +61,19 @@
             (header_value(headers, b"x-id") or b"").decode(),
             float(remaining) if remaining else None,
             (header_value(headers, b"x-object") or b"").decode(),
+            header_value(headers, b"x-key") or b"",
         )
 
-    def target_request_headers(self, headers, *, target_id, remaining_s):
-        kept = [h for h in headers if h[0] != b"x-remaining"]
+    def target_request_headers(
+        self, headers, *, target_id, remaining_s, account=None
+    ):
+        replaced = [b"x-remaining"]
+        if account is not None:
+            replaced += [b"x-key", b"x-account"]
+        kept = [h for h in headers if h[0] not in replaced]
         return [
             *kept,
+            *([(b"x-account", account.encode())] if account else []),
             (b"x-remaining", f"{remaining_s:.3f}".encode()),
             (b"x-target", target_id.encode()),
         ]
@@ -182,7 +189,7 @@
         targets: The targets by id (``t0``, ``t1``, ...).
     """
 
-    def __init__(self, *scripts: Callable, **route_fields):
+    def __init__(self, *scripts: Callable, accounts=(), **route_fields):
         self.targets = {
             f"t{n}": ScriptedTarget(script) for n, script in enumerate(scripts)
         }
@@ -200,6 +207,7 @@
                 (route("orders", "/orders/", **route_fields),),
                 {"orders": ORDERS},
                 LIMITS,
+                tuple(accounts),
             )
         )
         for target_id, target in self.targets.items():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -18,7 +18,7 @@
             (b"sardinewheel-time-remaining", b"3000"),
         ]
     )
-    assert caller == ("9c41", 3.0, "17")
+    assert caller == ("9c41", 3.0, "17", b"")
 
 
 @pytest.mark.parametrize("text", [b"", b"soon", b"1 2"])
@@ -89,7 +89,14 @@
 
 @pytest.mark.parametrize(
     ("text", "load"),
-    [(b"3,0,8", (3, 0, 8)), (b"3,0", None), (b"a,b,c", None)],
+    [
+        (b"3,0,8", (3, 0, 8, 1.0)),
+        (b"3,0,8,250", (3, 0, 8, 2.5)),
+        (b"3,0", None),
+        (b"3,0,8,250,1", None),
+        (b"a,b,c", None),
+        (b"3,0,8,x", None),
+    ],
 )
 def test_reported_load_is_decoded(text, load):
     headers = [(b"sardinewheel-server-load", text)]
