--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from sardinewheel_gateway.policy.accounts import key_digest
 from sardinewheel_platform.headers import HttpPlatformAdapter
 
 ADAPTER = HttpPlatformAdapter()
@@ -191,3 +192,45 @@
     assert ADAPTER.response_info(200, []).announcement is None
     headers = [(b"server-limit", b"2")]
     assert ADAPTER.response_info(200, headers).announcement is None
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        (b"Bearer k1", "k1"),
+        (b"bearer  k1 ", "k1"),
+        (b"Basic k1", None),
+        (b"Bearer ", None),
+        (b"k1", None),
+    ],
+)
+def test_the_key_of_a_caller_is_read_as_its_digest(text, key):
+    caller = ADAPTER.caller([(b"authorization", text)])
+    assert caller.key_digest == (key_digest(key) if key else b"")
+
+
+@pytest.mark.parametrize(
+    ("account", "expected"),
+    [
+        ("cafe", [(b"sardinewheel-tenant-name", b"cafe")]),
+        ("", []),
+        (
+            None,
+            [
+                (b"authorization", b"Bearer k1"),
+                (b"sardinewheel-tenant-name", b"forged"),
+            ],
+        ),
+    ],
+)
+def test_with_accounts_the_name_replaces_key_and_forged_name(account, expected):
+    headers = ADAPTER.target_request_headers(
+        [
+            (b"authorization", b"Bearer k1"),
+            (b"sardinewheel-tenant-name", b"forged"),
+        ],
+        target_id="i-1",
+        remaining_s=1.0,
+        account=account,
+    )
+    assert headers[:-2] == expected
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from sardinewheel_gateway.policy.accounts import key_digest
 from sardinewheel_platform import records
 
 TARGET = {
@@ -130,3 +131,48 @@
 def test_invalid_configuration_is_rejected():
     with pytest.raises(records.RecordError):
         records.parse_configuration(b"{}")
+
+
+def with_accounts(*accounts):
+    return json.dumps({**CONFIGURATION, "Tenants": accounts}).encode()
+
+
+def test_accounts_are_parsed_with_digests_for_keys():
+    (account,) = records.parse_configuration(
+        with_accounts(
+            {
+                "Name": "cafe",
+                "Keys": ["k1", "k2"],
+                "Priority": 1,
+                "RatePerS": 464,
+                "Burst": 464,
+                "HomeRegions": ["north"],
+            }
+        )
+    ).accounts
+    digests = (key_digest("k1"), key_digest("k2"))
+    assert account == ("cafe", digests, 1, 464.0, 464.0, {"north"})
+
+
+def test_an_account_without_limit_or_priority_has_none():
+    (account,) = records.parse_configuration(
+        with_accounts({"Name": "cafe", "Keys": [], "RatePerS": 0})
+    ).accounts
+    assert account.priority is None
+    assert not account.is_limited
+
+
+@pytest.mark.parametrize(
+    "accounts",
+    [
+        [{"Keys": ["k1"]}],
+        [{"Name": ""}],
+        [{"Name": "cafe", "RatePerS": -1}],
+        [{"Name": "cafe", "Burst": "many"}],
+        [{"Name": "cafe", "Keys": [7]}],
+        [{"Name": "cafe", "Keys": ["k"]}, {"Name": "shop", "Keys": ["k"]}],
+    ],
+)
+def test_a_configuration_with_malformed_accounts_is_rejected(accounts):
+    with pytest.raises(records.RecordError, match="configuration"):
+        records.parse_configuration(with_accounts(*accounts))
