--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -176,3 +176,20 @@
 def test_a_configuration_with_malformed_accounts_is_rejected(accounts):
     with pytest.raises(records.RecordError, match="configuration"):
         records.parse_configuration(with_accounts(*accounts))
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("upload", False),
+        ("unknown", False),
+    ],
+)
+def test_downloads_may_be_repeated_and_uploads_may_not(kind, is_idempotent):
+    first, *others = CONFIGURATION["Routes"]
+    raw = {**CONFIGURATION, "Routes": [{**first, "Kind": kind}, *others]}
+    configuration = records.parse_configuration(json.dumps(raw).encode())
+    assert configuration.routes[0].is_idempotent is is_idempotent
