Keep the rate limits of client accounts over all hosts

Change: each failure domain has an even part of each limited account's rate. One live, ready host of the domain, the holder, hands the part out as tokens, each for one request, that expire within a second; hosts ask the holder of their own domain ahead of their requests, and those of other domains once that part does not suffice. The life of a token and the bursts of the parts fit in what a window allows beyond the limit. A holder in touch with less than half of its domain hands out nothing, a new one waits 2 s. Over the limit the answer is 429 with Retry-After. A request that another host forwarded is not charged again, one that has not run gives its token back.

Ruled out: leases of rates with loans between domains (a part moves only after its lease has ended; tokens move at once and need no second protocol); permits for each request as for targets (a message per request). Accounts without a limit, and deployments without accounts, run none of it.

--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: forwards or refuses each of them."""
 
 from sardinewheel_gateway import clock, peer_messages
+from sardinewheel_gateway.account_limit_exchange import AccountLimitExchange
 from sardinewheel_gateway.attempts import Body, Sender
 from sardinewheel_gateway.errors import BodyTooLargeError
 from sardinewheel_gateway.exchange import Exchange
@@ -13,6 +14,7 @@
 from sardinewheel_gateway.peer_messages import Origin
 from sardinewheel_gateway.peer_sender import PeerSender
 from sardinewheel_gateway.platform_adapter import CallerInfo, PlatformAdapter
+from sardinewheel_gateway.policy.account_limits import Token
 from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.routes import Route, common_homes
@@ -30,6 +32,7 @@
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 
 
 class Forwarder:
@@ -39,6 +42,7 @@
         routing_state: Configuration in force and state of the targets.
         adapter: Parses and builds the platform's headers.
         permits: Gets permits for requests to targets that name a limit.
+        account_limits: Gets tokens for requests of limited accounts.
         path_monitor: Finds out whether this host reaches targets.
         sender: Sends requests to targets.
         peer_sender: Sends requests to other hosts.
@@ -52,6 +56,7 @@
         *,
         routing_state: RoutingState,
         permits: LimitPermits,
+        account_limits: AccountLimitExchange,
         adapter: PlatformAdapter,
         peer_choice: PeerChoice,
         metrics: Metrics,
@@ -59,6 +64,7 @@
     ):
         self.routing_state = routing_state
         self.permits = permits
+        self.account_limits = account_limits
         self.adapter = adapter
         self.metrics = metrics
         self.log = log
@@ -91,12 +97,39 @@
         account = self.routing_state.account_table.find(caller.key_digest)
         if not self._admit_account(exchange, caller, route, account):
             return
+        if account is None or not account.is_limited or exchange.origin:
+            self._forward(exchange, caller, route, account)
+            return
+        token = self.account_limits.acquire(account)
+        if not isinstance(token, Token):
+            self.respond(
+                exchange,
+                caller,
+                TOO_MANY_REQUESTS,
+                "account-over-limit",
+                retry_after_s=token,
+                account=account.name,
+            )
+            return
+        if not self._forward(exchange, caller, route, account):
+            self.account_limits.give_back(account, token)
+
+    def _forward(
+        self,
+        exchange: Exchange,
+        caller: CallerInfo,
+        route: Route,
+        account: Account | None,
+    ) -> bool:
+        """Forwards a request; returns whether a target may have run it."""
         try:
             body = _buffer_body(exchange)
         except BodyTooLargeError:
             self.respond(exchange, caller, TOO_LARGE, "body-too-large")
-            return
-        Forwarding(self, exchange, caller, route, account, body).run()
+            return False
+        forwarding = Forwarding(self, exchange, caller, route, account, body)
+        forwarding.run()
+        return not forwarding.was_refused
 
     def handle_peer(self, exchange: Exchange) -> None:
         """Handles one request that another host forwards."""
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -69,6 +69,7 @@
         unopened: Ids of the targets without an open connection, if new ones
             can't be opened.
         last_result: Result of the last attempt.
+        was_refused: Whether the request has not run and never will.
         peers: Forwarding to other hosts, if this one reaches no target.
         responder: Sends the final response.
     """
@@ -94,6 +95,7 @@
         self.without_permit: list[str] = []
         self.unopened: frozenset[str] = frozenset()
         self.last_result: AttemptResult | None = None
+        self.was_refused = False
         self.peers = PeerForwarding(self, forwarder.peer_sender)
         self.responder = Responder(self)
         received_at = exchange.head.received_at
--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -1,8 +1,8 @@
 """UDP datagrams between hosts.
 
 They carry membership, small updates, object uses, targets' announcements,
-permits for requests to targets that name a limit, and news of requests that
-crash targets.
+permits for requests to targets that name a limit, news of requests that crash
+targets, and tokens for requests of limited client accounts.
 """
 
 import random
@@ -42,6 +42,8 @@
 PERMIT = 10
 CRASH_NEWS = 11
 CRASH_REQUEST = 12
+TOKEN_REQUEST = 13
+TOKENS = 14
 MAX_OBJECTS_PER_DATAGRAM = 30
 
 
@@ -88,6 +90,38 @@
     is_complete: bool
 
 
+class TokenRequest(NamedTuple):
+    """A host asks a holder for tokens of a limited account.
+
+    Attributes:
+        address: ``host:port`` to respond to.
+        number: Number of the request at the asking host.
+        account: Name of the account.
+        wanted: Number of tokens.
+    """
+
+    address: str
+    number: int
+    account: str
+    wanted: int
+
+
+class Tokens(NamedTuple):
+    """Response to a ``TokenRequest``.
+
+    Attributes:
+        number: Number of the request.
+        tokens: Number of tokens.
+        wait_s: Seconds until the holder has the next token.
+        life_s: Seconds from the request after which the tokens expire.
+    """
+
+    number: int
+    tokens: int
+    wait_s: float
+    life_s: float
+
+
 class Gossip:
     """Sends and receives datagrams.
 
@@ -103,6 +137,8 @@
         on_crash_news: Called with another host's news of requests that crash
             targets.
         on_crash_request: Called with the address of a host that requests them.
+        on_token_request: Called with another host's request for tokens.
+        on_tokens: Called with a holder's response to such a request.
     """
 
     def __init__(
@@ -120,6 +156,8 @@
         self.on_permit: Callable[[Permit], None] = _do_nothing
         self.on_crash_news: Callable[[CrashNews], None] = _do_nothing
         self.on_crash_request: Callable[[str], None] = _do_nothing
+        self.on_token_request: Callable[[TokenRequest], None] = _do_nothing
+        self.on_tokens: Callable[[Tokens], None] = _do_nothing
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
@@ -225,6 +263,16 @@
         data = cbor2.dumps([CRASH_REQUEST, self.host_table.own.gossip])
         self._send(host.gossip, data)
 
+    def send_token_request(
+        self, holder: HostState, request: TokenRequest
+    ) -> None:
+        """Asks a holder for tokens of a limited account."""
+        self._send(holder.gossip, cbor2.dumps([TOKEN_REQUEST, *request]))
+
+    def send_tokens(self, address: str, tokens: Tokens) -> None:
+        """Responds to a request for tokens."""
+        self._send(address, cbor2.dumps([TOKENS, *tokens]))
+
     def _same_region_addresses(self) -> set[str]:
         return {host.gossip for host in self.host_table.same_region_hosts()}
 
@@ -278,6 +326,14 @@
         elif kind == CRASH_REQUEST:
             _, address = message
             self.on_crash_request(address)
+        elif kind == TOKEN_REQUEST:
+            _, address, number, account, wanted, *_ = message
+            self.on_token_request(
+                TokenRequest(address, number, account, wanted)
+            )
+        elif kind == TOKENS:
+            _, number, tokens, wait_s, life_s, *_ = message
+            self.on_tokens(Tokens(number, tokens, wait_s, life_s))
 
     def _log_discovered_hosts(self, states: list[HostState]) -> None:
         self.log.info(
--- a/packages/gateway/sardinewheel_gateway/metrics.py
+++ b/packages/gateway/sardinewheel_gateway/metrics.py
@@ -11,6 +11,7 @@
 
 BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.5, 4.0, 8.0)
 MAX_SERIES = 400
+MAX_ACCOUNTS = 20
 PREFIX = "sardinewheel_"
 OTHER = "other"
 
@@ -55,16 +56,26 @@
     Attributes:
         counters: Counters by name.
         latencies: Histograms by series.
+        accounts: Admitted and refused requests by limited account; those of
+            further accounts under ``OTHER``.
     """
 
     def __init__(self):
         self.counters: Counter[str] = Counter()
+        self.accounts: dict[str, Counter[str]] = {}
         self.latencies: dict[Series, Histogram] = {}
 
     def count(self, name: str) -> None:
         """Increments a counter."""
         self.counters[name] += 1
 
+    def count_account(self, name: str, *, is_admitted: bool) -> None:
+        """Counts a request of a limited account."""
+        if name not in self.accounts and len(self.accounts) >= MAX_ACCOUNTS:
+            name = OTHER
+        counter = self.accounts.setdefault(name, Counter())
+        counter["admitted" if is_admitted else "refused"] += 1
+
     def observe_request(self, series: Series, took_s: float) -> None:
         """Records the latency of a completed request.
 
@@ -134,6 +145,16 @@
         for event, count in self.events.items():
             events.add_metric([event], count)
         yield events
+        accounts = core.CounterMetricFamily(
+            f"{PREFIX}account_requests",
+            "Requests of limited accounts, charged or refused by this host",
+            labels=["account", "outcome"],
+        )
+        for account, counter in self.metrics.accounts.items():
+            for outcome, count in counter.items():
+                accounts.add_metric([account, outcome], count)
+        if self.metrics.accounts:
+            yield accounts
         latencies = core.HistogramMetricFamily(
             f"{PREFIX}request_seconds",
             "Time from a request's head to its answer",
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -12,6 +12,7 @@
 import gevent.event
 
 from sardinewheel_gateway import clock, crash_operations
+from sardinewheel_gateway.account_limit_exchange import AccountLimitExchange
 from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.crash_exchange import CrashExchange
 from sardinewheel_gateway.exchange import Exchange
@@ -124,6 +125,7 @@
         adapter: Parses and builds the platform's headers.
         source: Source of configuration and target updates.
         routing_state: State that decisions are based on.
+        account_limits: Keeps the rate limits of client accounts.
         announcement_exchange: Shares what targets announce.
         crash_exchange: Shares which requests crash targets.
         sync: Applies and forwards updates of operators and targets.
@@ -156,9 +158,18 @@
         self.gossip = Gossip(
             settings.gossip, self.host_table, list(settings.seeds), self.log
         )
+        self.account_limits = AccountLimitExchange(
+            routing_state=self.routing_state,
+            gossip=self.gossip,
+            regions=settings.regions,
+            metrics=self.metrics,
+            log=self.log,
+            rng=self.rng,
+        )
         self.forwarder = Forwarder(
             routing_state=self.routing_state,
             permits=LimitPermits(self.routing_state, self.gossip),
+            account_limits=self.account_limits,
             adapter=adapter,
             peer_choice=PeerChoice(self.host_table, self.rng),
             metrics=self.metrics,
@@ -284,6 +295,7 @@
             self.routing_state.limit_admission.set_hosts(
                 self.host_table.ready_by_domain(now=now), now=now
             )
+            self.account_limits.tick()
             self.routing_state.placer.objects.rebalance()
             self.gossip.send_objects(
                 self.routing_state.placer.objects.take_unsent()
--- a/packages/gateway/sardinewheel_gateway/responder.py
+++ b/packages/gateway/sardinewheel_gateway/responder.py
@@ -40,6 +40,7 @@
         self, refused: Refused, *, metric_reason: str | None = None
     ) -> None:
         """Responds that the request has not run and never will."""
+        self.forwarding.was_refused = True
         self.fail(
             UNAVAILABLE,
             refused.reason,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.account_limit_exchange import AccountLimitExchange
 from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.forwarder import Forwarder
 from sardinewheel_gateway.gossip import Gossip
@@ -217,12 +218,22 @@
         self.gossip = Gossip(
             "127.0.0.1:0", HostTable(state("test")), [], self.log
         )
+        metrics = Metrics()
+        self.account_limits = AccountLimitExchange(
+            routing_state=self.routing_state,
+            gossip=self.gossip,
+            regions={},
+            metrics=metrics,
+            log=self.log,
+            rng=rng,
+        )
         self.forwarder = Forwarder(
             routing_state=self.routing_state,
             permits=LimitPermits(self.routing_state, self.gossip),
+            account_limits=self.account_limits,
             adapter=StubAdapter(),
             peer_choice=PeerChoice(self.gossip.host_table, rng),
-            metrics=Metrics(),
+            metrics=metrics,
             log=self.log,
         )
         self.announcement_exchange = AnnouncementExchange(
