Rank targets by size and move few objects when one changes

Cause: rendezvous hashing ignored slots, so a target of three slots got as many objects as one of twelve, and one count limited the load of all.

Change: a member ranks by -ln(u) / size; a change of one size ranks that member anew only. Limits of load follow the sizes. Where sizes differ, the objects that rank a target earliest stay at it, and limits are rounded apart from each other. Requests without an object draw their first target by size, if sizes differ.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PACKAGES := core entry gateway cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
-.PHONY: soak emulate setup test lint format demo bench bench-path model settings-page clean slopes
+.PHONY: soak emulate setup test lint format demo bench bench-path few-moves model settings-page clean slopes
 
 setup: $(VENV)/.installed
 
@@ -30,6 +30,9 @@
 bench-path: setup
 	$(BIN)/python -m sardinewheel_testing.bench_path
 
+few-moves: setup
+	$(BIN)/python -m sardinewheel_testing.few_moves
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -1,18 +1,30 @@
 """Balanced, stable assignment of objects to targets.
 
-Uses rendezvous hashing with bounded loads: each object is assigned to its
-highest-ranked target whose load stays within the limit. The weight of an
-object is the number of routes that use it. Each host assigns the objects that
-it knows; hosts with the same objects and targets compute the same assignment
-without communication. A target that joins or leaves moves few objects; a
-higher ``LOAD_BOUND_FACTOR`` moves fewer.
+The load: requests that are cheaper at a target that has handled their object,
+while targets come, go and change their size.
+
+Uses weighted rendezvous hashing with bounded loads: each object is assigned to
+its highest-ranked target whose load stays within the limit, which is in
+proportion to the target's size. Where sizes differ, the objects that rank a
+target earliest stay and the others overflow; where all are equal, objects are
+assigned in the order of their keys, as by earlier builds. The load of an object
+is the number of routes that use it. Each host assigns the objects that it
+knows; hosts with the same objects and targets compute the same assignment
+without communication. A
+target that joins, leaves or changes its size moves few objects; a higher
+``LOAD_BOUND_FACTOR`` moves fewer.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from sardinewheel_gateway.policy.ranking import Ranking
+from sardinewheel_gateway.policy.ranking import (
+    SCORE_SCALE,
+    RankedMember,
+    Ranking,
+    score,
+)
 
 LOAD_BOUND_FACTOR = 1.5
 MAX_OBJECTS = 4096
@@ -60,22 +72,30 @@
         self.is_stale = False
 
     def preference(
-        self, key: str, targets: tuple[str, ...]
+        self, key: str, targets: Mapping[str, int]
     ) -> Preference | None:
         """Returns the targets of an object, or ``None`` without targets.
 
         Args:
             key: Key of the object.
-            targets: Ids of the usable targets, sorted.
+            targets: Size of each usable target by id; not to be modified
+                later.
         """
         if not targets:
             return None
-        if targets != self.ranking.members:
-            self.ranking.set_members(targets)
-            self.rebalance()
+        if targets is not self.ranking.weights:
+            self._set_targets(targets)
         found = self.preferences.get(key)
         return found or _first_two(self._first(key))
 
+    def _set_targets(self, targets: Mapping[str, int]) -> None:
+        """Replaces the targets; equal ones cost no more than a comparison."""
+        if targets == self.ranking.weights:
+            self.ranking.weights = targets
+            return
+        self.ranking.set_members(targets)
+        self.rebalance()
+
     def order(self, key: str) -> list[str]:
         """Returns the first targets of an object, by rank alone."""
         return self._first(key)
@@ -108,42 +128,96 @@
         """Assigns all objects anew, bounding the load of each target."""
         self.is_stale = False
         self.preferences.clear()
-        targets = self.ranking.members
+        targets = self.ranking.weights
         pairs = len(self.routes) * len(targets)
         if not targets or len(self.routes) > MAX_BALANCED_OBJECTS:
             return
         if pairs > MAX_BALANCED_PAIRS:
             return
-        total = sum(len(uses) for uses in self.routes.values())
-        limit = math.ceil(LOAD_BOUND_FACTOR * total / len(targets))
-        loads = dict.fromkeys(targets, 0)
-        for key in sorted(self.routes):
-            weight = len(self.routes[key])
-            self.preferences[key] = self._assign(key, weight, limit, loads)
-
-    def _assign(
-        self, key: str, weight: int, limit: int, loads: dict[str, int]
-    ) -> Preference:
+        uses = {key: len(routes) for key, routes in self.routes.items()}
+        rooms = _limits(targets, sum(uses.values()))
+        for key, first in self._firsts(uses, rooms).items():
+            order = self._first(key)
+            second = next((x for x in order if x != first), None)
+            self.preferences[key] = Preference(first, second)
+
+    def _firsts(
+        self, uses: dict[str, int], rooms: dict[str, int]
+    ) -> dict[str, str]:
+        """Returns the first target of each object.
+
+        Args:
+            uses: Load of each object.
+            rooms: Load for which each target has room; modified in place.
+        """
+        firsts: dict[str, str] = {}
+        if _differ(self.ranking.weights):
+            self._assign_by_rank(uses, rooms, firsts)
+        for key in sorted(uses.keys() - firsts.keys()):
+            firsts[key] = self._first_with_room(key, uses[key], rooms)
+            rooms[firsts[key]] -= uses[key]
+        return firsts
+
+    def _assign_by_rank(
+        self,
+        uses: dict[str, int],
+        rooms: dict[str, int],
+        firsts: dict[str, str],
+    ) -> None:
+        """Assigns objects to their cached ranks, the earliest rank first.
+
+        A target so keeps the objects that rank it earliest, and those that a
+        change moves displace few others.
+        """
+        for ranked_member, key in self._pairs():
+            target = ranked_member.member
+            if key not in firsts and uses[key] <= rooms[target]:
+                firsts[key] = target
+                rooms[target] -= uses[key]
+
+    def _first_with_room(
+        self, key: str, load: int, rooms: dict[str, int]
+    ) -> str:
+        """Returns the first target of an object that has room for it."""
         order = self._first(key)
-        first = _first_below_limit(order, weight, limit, loads)
-        if first is None:
-            whole = self.ranking.full_order(key)
-            first = _first_below_limit(whole, weight, limit, loads)
-            first = first or min(whole, key=loads.__getitem__)
-        loads[first] += weight
-        second = next((x for x in order if x != first), None)
-        return Preference(first, second)
+        found = next((x for x in order if load <= rooms[x]), None)
+        if found is not None:
+            return found
+        whole = self.ranking.full_order(key)
+        found = next((x for x in whole if load <= rooms[x]), None)
+        return found or max(whole, key=rooms.__getitem__)
+
+    def _pairs(self) -> list[tuple[RankedMember, str]]:
+        """Returns each object with its highest-ranked targets, by rank."""
+        return sorted(
+            (ranked_member, key)
+            for key in self.routes
+            for ranked_member in self.ranking.first_ranks(key, keep=True)
+        )
 
     def _first(self, key: str) -> list[str]:
         """Returns the highest-ranked targets of an object."""
         return self.ranking.first(key, keep=key in self.routes)
 
 
-def _first_below_limit(
-    order: list[str], weight: int, limit: int, loads: dict[str, int]
-) -> str | None:
-    """Returns the first target whose load stays within the limit."""
-    return next((x for x in order if loads[x] + weight <= limit), None)
+def _limits(targets: Mapping[str, int], total: int) -> dict[str, int]:
+    """Returns the most load of each target, in proportion to its size.
+
+    Limits of targets of different sizes are rounded at a point of their own,
+    so few of them change with one target. Earlier builds know equal sizes
+    only: their limits stay the same.
+    """
+    share = LOAD_BOUND_FACTOR * total / sum(targets.values())
+    if not _differ(targets):
+        return {x: math.ceil(share * size) for x, size in targets.items()}
+    return {
+        x: math.floor(share * size + SCORE_SCALE * score("", x)) + 1
+        for x, size in targets.items()
+    }
+
+
+def _differ(sizes: Mapping[str, int]) -> bool:
+    return len(set(sizes.values())) > 1
 
 
 def _first_two(order: list[str]) -> Preference:
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from itertools import accumulate
 from typing import NamedTuple
 
 from sardinewheel_gateway.policy.accounts import Account
@@ -38,6 +39,8 @@
 NO_TARGET_RETRY_AFTER_S = 0.5
 MAX_LOAD_AGE_S = 999.0
 MAX_CACHED_USABLE = 64
+# Draws for two different targets, where sizes differ.
+MAX_DRAWS = 4
 
 
 class PlacementRequest(NamedTuple):
@@ -114,17 +117,35 @@
             regions.
         ids: Target ids, sorted.
         by_id: Targets by id.
+        weights: Size of each target in slots, at least 1, by id.
+        size_sums: Running totals of the sizes, in the order of ``ids``; empty
+            if all are equal.
     """
 
     source: list[Target]
     ids: tuple[str, ...]
     by_id: dict[str, Target]
+    weights: dict[str, int]
+    size_sums: tuple[int, ...]
 
     @classmethod
     def of(cls, source: list[Target], targets: list[Target]) -> "UsableTargets":
         """Returns an instance for a sorted subset of ``source``."""
         by_id = {target.record.target_id: target for target in targets}
-        return cls(source, tuple(by_id), by_id)
+        weights = {x: max(1, by_id[x].record.slots) for x in by_id}
+        are_equal = len(set(weights.values())) <= 1
+        size_sums = () if are_equal else tuple(accumulate(weights.values()))
+        return cls(source, tuple(by_id), by_id, weights, size_sums)
+
+    def sample(self, rng: random.Random) -> list[str]:
+        """Returns up to two targets at random, the first by size."""
+        if not self.size_sums:
+            return rng.sample(self.ids, min(2, len(self.ids)))
+        first, *rest = rng.choices(
+            self.ids, cum_weights=self.size_sums, k=MAX_DRAWS
+        )
+        second = next((x for x in rest if x != first), None)
+        return [first] if second is None else [first, second]
 
 
 class Placer:
@@ -239,7 +260,7 @@
         self, request: PlacementRequest, usable: UsableTargets, now: float
     ) -> list[Placed]:
         """Returns up to two available targets in order of preference."""
-        preferred = self._preferred(request, usable.ids)
+        preferred = self._preferred(request, usable)
         found = self._available(preferred, usable.by_id, request, now)
         if found:
             return found
@@ -275,14 +296,14 @@
         return self.objects.of(request.service).order(request.object_key)
 
     def _preferred(
-        self, request: PlacementRequest, ids: tuple[str, ...]
+        self, request: PlacementRequest, usable: UsableTargets
     ) -> list[str]:
         if not request.object_key:
-            return self.rng.sample(ids, min(2, len(ids)))
+            return usable.sample(self.rng)
         use = ObjectUse(request.service, request.route.name, request.object_key)
         self.objects.record_use(use)
         chosen = self.objects.of(request.service).preference(
-            request.object_key, ids
+            request.object_key, usable.weights
         )
         return [x for x in chosen or () if x is not None]
 
--- a/packages/testing/sardinewheel_testing/emulator/dispatch.py
+++ b/packages/testing/sardinewheel_testing/emulator/dispatch.py
@@ -1,7 +1,7 @@
 """Dispatch strategies: which host places a request, and by which criteria."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from sardinewheel_gateway.policy import ranking
@@ -83,9 +83,9 @@
     ) -> str:
         """Returns the owner of the object's preferred target."""
         usable = placer.target_table.usable(request.service)
-        ids = tuple(target.record.target_id for target in usable)
+        sizes = {x.record.target_id: x.record.slots for x in usable}
         objects = placer.objects.of(request.service)
-        preference = objects.preference(request.object_key, ids)
+        preference = objects.preference(request.object_key, sizes)
         if preference is None:
             return host
         return ranking.ranked(preference.first, hosts)[0]
@@ -122,12 +122,12 @@
         """Does nothing: objects are not tracked."""
 
     def preference(
-        self, key: str, targets: tuple[str, ...]
+        self, key: str, targets: Mapping[str, int]
     ) -> Preference | None:
         """Returns two targets sampled at random, the less loaded first."""
         if not targets:
             return None
-        sampled = self.rng.sample(targets, min(2, len(targets)))
+        sampled = self.rng.sample(tuple(targets), min(2, len(targets)))
         sampled.sort(key=self._in_flight)
         return Preference(sampled[0], sampled[-1] if len(sampled) > 1 else None)
 
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -55,7 +55,7 @@
 def placer_and_targets():
     placer = make_placer()
     chosen = placer.objects.of("orders").preference(
-        "k", tuple(f"t{n}" for n in range(6))
+        "k", {f"t{n}": 3 for n in range(6)}
     )
     return placer, chosen.first, chosen.second
 
@@ -179,3 +179,14 @@
     report_load(placer, order[2], 20)
     placed = placer.place(placement_request(tried=order[:2]), 1.0)
     assert placed.target.record.target_id == order[3]
+
+
+def test_requests_without_an_object_follow_the_sizes_of_targets():
+    placer = make_placer(count=0)
+    for n, slots in enumerate((3, 9)):
+        placer.target_table.put(record(f"t{n}", slots=slots), now=0.0)
+    request = placement_request(key="")
+    chosen = [
+        placer.place(request, 1.0).target.record.target_id for _ in range(2000)
+    ]
+    assert 0.7 < chosen.count("t1") / len(chosen) < 0.8
