--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 SEED ?= 7
 SEEDS ?= 1
 SCALE ?= 0.15
+TEST_WORKERS ?= 4
 PACKAGES := core entry gateway cli testing
 SPECS := $(filter-out %/checker.py,$(wildcard packages/core/specs/*.py))
 
@@ -39,7 +40,8 @@
 	$(BIN)/ruff check --fix .
 
 test: setup lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadgroup -m "not serial"
+	$(BIN)/python -m pytest -m serial
 	$(BIN)/behave --format progress
 
 settings-page: setup
--- a/packages/testing/sardinewheel_testing/processes.py
+++ b/packages/testing/sardinewheel_testing/processes.py
@@ -9,6 +9,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,8 +17,9 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.02
-
-_returned_addresses: set[str] = set()
+# Below the ports that the kernel gives to connections and to port 0.
+FIRST_PORT, LAST_PORT = 20000, 32000
+PORTS_PER_BLOCK = 200
 
 
 class HttpResponse(NamedTuple):
@@ -33,20 +35,60 @@
         return json.loads(self.body)
 
 
-def free_address() -> str:
-    """Returns a loopback address with a free port.
+class PortBlocks:
+    """Ports that no other test process hands out at the same time.
 
-    No address is returned twice, as the kernel may offer a port again as soon
-    as it was released.
+    The first port of a block stays bound as long as the block is in use.
+
+    Attributes:
+        claims: Bound sockets of the claimed blocks.
+        ports: Ports of the latest block that were not returned yet.
     """
-    while True:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            host, port = sock.getsockname()
-        address = f"{host}:{port}"
-        if address not in _returned_addresses:
-            _returned_addresses.add(address)
-            return address
+
+    def __init__(self):
+        self.claims: list[socket.socket] = []
+        self.ports: Iterator[int] = iter(())
+
+    def free_port(self) -> int:
+        """Returns a free port that was not returned before.
+
+        Raises:
+            OSError: All blocks are in use.
+        """
+        for port in self.ports:
+            sock = _bound_socket(port)
+            if sock:
+                sock.close()
+                return port
+        self.ports = self._claim_block()
+        return self.free_port()
+
+    def _claim_block(self) -> Iterator[int]:
+        for first in range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK):
+            claim = _bound_socket(first)
+            if claim:
+                self.claims.append(claim)
+                return iter(range(first + 1, first + PORTS_PER_BLOCK))
+        raise OSError(f"all ports from {FIRST_PORT} to {LAST_PORT} are in use")
+
+
+def _bound_socket(port: int) -> socket.socket | None:
+    """Returns a socket bound to a loopback port; None if it is in use."""
+    sock = socket.socket()
+    try:
+        sock.bind(("127.0.0.1", port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
+_blocks = PortBlocks()
+
+
+def free_address() -> str:
+    """Returns a loopback address with a free port, never the same twice."""
+    return f"127.0.0.1:{_blocks.free_port()}"
 
 
 def http(
--- a/tests/cli/test_cli_processes.py
+++ b/tests/cli/test_cli_processes.py
@@ -9,6 +9,9 @@
 from sardinewheel_testing.process_cluster import SEATS, ProcessCluster
 from sardinewheel_testing.processes import BIN, free_address, wait_until
 
+# With tests beside it, a change is not always accepted in time.
+pytestmark = pytest.mark.serial
+
 SCRIPT = """
 # A second service in a separate region.
 define region austro cap 10 domains cuenca-centro
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -16,6 +16,9 @@
 from sardinewheel_entry.peers import encode
 from sardinewheel_testing.fake_cluster import FakeCluster
 
+# Its tests share a fixture of the module.
+pytestmark = pytest.mark.xdist_group("membership")
+
 DOMAINS = ("a", "a", "b", "c", "c", "d", "d", "e", "e", "f", "f")
 BUDGET_BYTES_PER_S = 7000
 
--- a/tests/entry/test_operators.py
+++ b/tests/entry/test_operators.py
@@ -24,6 +24,9 @@
 from sardinewheel_entry.platform_client import PlatformClient
 from sardinewheel_testing.processes import free_address
 
+# Its tests share a fixture of the module.
+pytestmark = pytest.mark.xdist_group("operators")
+
 CHANGE = Change(
     1,
     "c-1",
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -14,6 +14,9 @@
 
 from tests.entry.cluster import JSON, Cluster, outcome_of, reason_of
 
+# Its tests share a fixture of the module.
+pytestmark = pytest.mark.xdist_group("requests")
+
 LARGE_BODY = bytes(range(256)) * 20_000
 
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -11,6 +11,7 @@
     Update,
 )
 from sardinewheel_gateway.process import Gateway, GatewaySettings
+from sardinewheel_testing.processes import free_address
 
 from tests.gateway.harness import (
     BOUNDS,
@@ -41,15 +42,6 @@
             gevent.sleep(0.02)
 
 
-def free_address():
-    """Returns an unused address."""
-    sock = gevent.socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return f"127.0.0.1:{port}"
-
-
 def operators(version, position, *, prefix="/orders/", evacuated=()):
     routes = (route("orders", prefix),)
     configuration = Configuration(version, routes, {"orders": ORDERS}, LIMITS)
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -1,5 +1,6 @@
 """Runs the gateway program as a separate process."""
 
+import functools
 import os
 import signal
 import subprocess
@@ -22,10 +23,17 @@
 RELAY_IP_OFFSET = 100
 # Not the address of the relays: a connection from it takes a port there.
 SOURCE_IP_OFFSET = 200
+NET_COUNT = 200
+FIRST_NET = 10
+# Held by the process that uses a net, on an address that no gateway has.
+NET_CLAIM_IP, NET_CLAIM_PORT = 250, 18099
 SEED_COUNT = 2
 MIN_CPU_WAIT_S = 0.4
 NANOSECONDS_PER_S = 1e9
 
+# Sockets that hold the claims; the process keeps them until its end.
+_net_claims = []
+
 SETTINGS = """
 Node = "{name}"
 IpAddr = "{ip}"
@@ -49,6 +57,26 @@
 """
 
 
+@functools.cache
+def claimed_net():
+    """Returns the loopback net that only this test process uses.
+
+    The ports of the gateways are fixed, so that test processes which run at
+    the same time need an address range each.
+    """
+    for step in range(NET_COUNT):
+        number = (os.getpid() + step) % NET_COUNT + FIRST_NET
+        sock = socket.socket()
+        try:
+            sock.bind((f"127.0.{number}.{NET_CLAIM_IP}", NET_CLAIM_PORT))
+        except OSError:
+            sock.close()
+            continue
+        _net_claims.append(sock)
+        return f"127.0.{number}"
+    raise OSError(f"all {NET_COUNT} loopback nets are in use")
+
+
 class GatewayProcess:
     """One gateway process.
 
@@ -80,7 +108,7 @@
         self.script = RELAYED_GATEWAY_SCRIPT if is_relayed else GATEWAY_SCRIPT
         self.name = f"host-{number}"
         self.has_target_relays = False
-        net = f"127.0.{os.getpid() % 200 + 10}"
+        net = claimed_net()
         self.ip = f"{net}.{number + 1}"
         self.relay_ip = f"{net}.{RELAY_IP_OFFSET + number + 1}"
         self.source_ip = f"{net}.{SOURCE_IP_OFFSET + number + 1}"
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -18,6 +18,9 @@
     refused_digests,
 )
 
+# With tests beside it, fewer of its sound requests are served than its bound.
+pytestmark = pytest.mark.serial
+
 DOMAINS = ("north-a", "north-b", "east-a", "east-b")
 TARGET_COUNT = 12
 REQUESTS_PER_S = 30.0
--- a/tests/testing/emulator/test_emulation.py
+++ b/tests/testing/emulator/test_emulation.py
@@ -10,6 +10,9 @@
     Scenario,
 )
 
+# Its tests share a fixture of the module.
+pytestmark = pytest.mark.xdist_group("emulation")
+
 SEED = 7
 NOISE = 0.03
 
--- a/tests/testing/test_deployment.py
+++ b/tests/testing/test_deployment.py
@@ -6,6 +6,9 @@
 from sardinewheel_entry.settings import check
 from sardinewheel_testing.deployment import Deployment
 
+# Both deployments look for free ports in the same ranges.
+pytestmark = pytest.mark.xdist_group("deployment")
+
 SETTINGS = Path(__file__).parents[2] / "settings"
 
 
