--- a/packages/gateway/sardinewheel_gateway/policy/account_limits.py
+++ b/packages/gateway/sardinewheel_gateway/policy/account_limits.py
@@ -29,22 +29,26 @@
 
 # Part of a token's life for which tokens are asked for ahead.
 AHEAD_FRACTION = 0.6
+# With fewer requests than that in this time, tokens would mostly expire unused.
+MIN_AHEAD = 1.5
 # Other domains are asked from this fraction of the own domain's part on.
 USABLE_FRACTION = 0.7
 # More is asked for if several holders are asked, as one may have too little.
 ASK_EXCESS = 1.2
 # Holders in other regions that are asked for a single token.
-MIN_ASKED_FAR = 2
+MIN_ASKED_FAR = 1
 # Time for which all domains are asked after one had too few tokens.
 WIDE_S = 2.0
 MIN_ASK_INTERVAL_S = 0.05
 MAX_ASK_INTERVAL_S = 0.5
-# Two regions are less than 0.1 s from each other and back.
-ANSWER_TIMEOUT_S = 0.2
+# Answers of the own region come within a few milliseconds, those of others in
+# less than 0.1 s, unless they are lost.
+NEAR_ANSWER_TIMEOUT_S = 0.05
+FAR_ANSWER_TIMEOUT_S = 0.12
 SILENCE_WAIT_S = 0.3
 # Requests may wait for tokens for ``MAX_WAIT_S``, as many as the account may
 # send in that time.
-MAX_WAIT_S = 0.25
+MAX_WAIT_S = 0.35
 MIN_WAITING = 8
 IDLE_EXPIRY_S = 60.0
 MIN_RETRY_AFTER_S = 0.3
@@ -75,11 +79,13 @@
         domain: Failure domain of the holder.
         wanted: Number of tokens.
         sent_at: Time of the question; the tokens' life begins then.
+        timeout_s: Seconds after which no answer is expected any more.
     """
 
     domain: str
     wanted: int
     sent_at: float
+    timeout_s: float
 
 
 class Lot(NamedTuple):
@@ -158,7 +164,7 @@
     def expire_asks(self, now: float) -> None:
         """Drops questions that got no answer in time."""
         for number, ask in list(self.open_asks.items()):
-            if now - ask.sent_at > ANSWER_TIMEOUT_S:
+            if now - ask.sent_at > ask.timeout_s:
                 del self.open_asks[number]
                 self.ask_at[ask.domain] = now + SILENCE_WAIT_S
                 self.wide_until = now + WIDE_S
@@ -253,11 +259,14 @@
         most = max(MIN_WAITING, account.rate_per_s * MAX_WAIT_S)
         if demand.waiting >= most:
             return False
-        if demand.open_asks or self.parts.holds(account, now=now):
+        if demand.open_asks:
+            return True
+        if self.parts.wait_s(account, now=now) < MAX_WAIT_S:
             return True
         return any(
             demand.ask_at.get(domain, now) < now + MAX_WAIT_S
             for domain in self.parts.plan(account).domains
+            if self._is_held_elsewhere(account.name, domain)
         )
 
     def asks(self, account: Account, *, now: float) -> list[Ask]:
@@ -319,7 +328,7 @@
         """
         ahead_s = AHEAD_FRACTION * plan.life_s
         expected = demand.arrivals.per_s(now) * ahead_s
-        if expected < 1.0:
+        if expected < MIN_AHEAD:
             expected = 0.0
         available = demand.tokens(now)
         available += sum(ask.wanted for ask in demand.open_asks.values())
@@ -346,14 +355,17 @@
             for domain in domains
             if domain not in pending
             and now >= demand.ask_at.get(domain, now)
-            and self.holders.holder(name, domain)
-            not in (None, self.holders.host)
+            and self._is_held_elsewhere(name, domain)
         ]
         near = [x for x in can_ask if x in domains[:count_needed]]
         if near or not demand.waiting or pending:
             return near
         return can_ask
 
+    def _is_held_elsewhere(self, account: str, domain: str) -> bool:
+        holder = self.holders.holder(account, domain)
+        return holder not in (None, self.holders.host)
+
     def _nearest_first(
         self, demand: Demand, plan: LimitPlan
     ) -> tuple[str, ...]:
@@ -373,7 +385,10 @@
     def _ask(self, demand: Demand, domain: str, wanted: int, now: float) -> Ask:
         number = next(self.numbers)
         name = demand.account.name
-        demand.open_asks[number] = OpenAsk(domain, wanted, now)
+        timeout_s = FAR_ANSWER_TIMEOUT_S
+        if self._is_near(domain):
+            timeout_s = NEAR_ANSWER_TIMEOUT_S
+        demand.open_asks[number] = OpenAsk(domain, wanted, now, timeout_s)
         self.asked[number] = name
         holder = self.holders.holder(name, domain)
         return Ask(number, holder, name, wanted)
--- a/packages/gateway/sardinewheel_gateway/policy/account_parts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/account_parts.py
@@ -7,6 +7,7 @@
 Life and bursts are chosen so that this stays within what the window allows.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -19,7 +20,7 @@
 # Part of the room beyond ``MIN_BURST_REQUESTS`` that the life of tokens uses;
 # bursts use the rest.
 LIFE_FRACTION = 0.6
-MIN_BURST_REQUESTS = 12.0
+MIN_BURST_REQUESTS = 16.0
 MAX_LIFE_S = 1.0
 # Requests of the room that stay free for a part that two hosts hold for a
 # moment.
@@ -81,7 +82,7 @@
             >>> account = Account("cafe", rate_per_s=10.0)
             >>> plan = LimitPlan.of(account, ("a", "b"), WindowBound())
             >>> plan.part.rate_per_s, round(plan.life_s, 2)
-            (5.0, 0.54)
+            (5.0, 0.3)
         """
         rate_per_s = account.rate_per_s
         room = (
@@ -145,6 +146,13 @@
             return False
         return account.name in self.buckets or now >= self.holders.settled_at
 
+    def wait_s(self, account: Account, *, now: float) -> float:
+        """Returns the seconds until the next token of the part held here."""
+        if not self.holds(account, now=now):
+            return math.inf
+        bucket = self._bucket(account, now)
+        return max(0.0, 1.0 - bucket.tokens) / bucket.share.rate_per_s
+
     def tokens(self, account: Account, *, now: float) -> int:
         """Returns the tokens of the part, 0 if it is not held here."""
         if not self.holds(account, now=now):
