--- a/tests/gateway/policy/test_account_limits.py
+++ b/tests/gateway/policy/test_account_limits.py
@@ -1,9 +1,19 @@
 """The limit of an account holds over all hosts; less is rarely refused."""
 
 import pytest
-from sardinewheel_gateway.policy.account_parts import LimitPlan, WindowBound
+from sardinewheel_gateway.policy.account_holders import (
+    TAKEOVER_WAIT_S,
+    HolderTable,
+)
+from sardinewheel_gateway.policy.account_limits import Demand, Lot
+from sardinewheel_gateway.policy.account_parts import (
+    AccountParts,
+    LimitPlan,
+    WindowBound,
+)
 
 from tests.gateway.policy.account_limit_fleet import DOMAINS, Fleet, limited
+from tests.gateway.policy.test_hosts import state
 
 HOT = 7.0 * 0.625
 USUAL = 0.6
@@ -179,3 +189,43 @@
         limits.record_refusal(fleet.account, now=fleet.now) for _ in range(50)
     ]
     assert max(waits_s) > 2.0 * min(waits_s)
+
+
+def lone_holder():
+    """Returns the parts of a host that is the only one, from 0 s on."""
+    holders = HolderTable("a", "north-a", (), may_be_alone=True)
+    parts = AccountParts(holders, WindowBound())
+    parts.set_hosts([state("a")], now=0.0)
+    return parts
+
+
+def tokens_at(parts, now):
+    """Returns how many tokens a holder hands out, with a fresh view."""
+    parts.set_hosts([state("a")], now=now)
+    return parts.take(limited(10.0), 100, now=now).tokens
+
+
+def test_new_holder_waits_and_starts_empty():
+    parts = lone_holder()
+    assert tokens_at(parts, TAKEOVER_WAIT_S - 0.1) == 0
+    assert tokens_at(parts, TAKEOVER_WAIT_S + 0.25) == 2
+
+
+def test_holder_without_a_recent_view_hands_out_nothing():
+    parts = lone_holder()
+    assert tokens_at(parts, 2.9) > 0
+    assert parts.take(limited(10.0), 1, now=4.0).tokens == 0
+
+
+def test_holder_that_was_paused_waits_again():
+    parts = lone_holder()
+    assert tokens_at(parts, 2.9) > 0
+    assert tokens_at(parts, 6.5) == 0
+    assert tokens_at(parts, 7.5) == 0
+
+
+def test_tokens_expire():
+    demand = Demand(limited(10.0))
+    demand.add(Lot(expires_at=1.0, tokens=2), now=0.5)
+    assert demand.take(0.9) is not None
+    assert demand.take(1.0) is None
