Explain where a request would go now, without sending it

Cause: sardinewheel-explain tells of past requests only, from logs.

Ruled out: a second, read-only placement, since two codes for one decision part in time; a dry run on the live state that is undone.

Change: GET /v1/placement at the control address places a request with Placer.place on a copy of what a placement changes, with a random source of its own.

Tests: state is the same after 1,000 questions, and the answer is what place() then chooses. Both failed in a trial without the copy or with choose() in place of peek().

--- a/packages/gateway/sardinewheel_gateway/policy/cold_admission.py
+++ b/packages/gateway/sardinewheel_gateway/policy/cold_admission.py
@@ -75,6 +75,14 @@
         sent = self.sent.setdefault(target_id, deque(maxlen=64))
         sent.append(now)
 
+    def copy(self) -> "ColdAdmission":
+        """Returns a copy whose changes leave this one as it is."""
+        copied = ColdAdmission(self.host, self.bound)
+        copied.hosts = self.hosts
+        copied.sent = {x: sent.copy() for x, sent in self.sent.items()}
+        copied.is_warming_host = dict(self.is_warming_host)
+        return copied
+
     def forget(self, target_id: str) -> None:
         """Drops the state of a target that has left."""
         self.sent.pop(target_id, None)
--- a/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
+++ b/packages/gateway/sardinewheel_gateway/policy/limit_admission.py
@@ -11,6 +11,7 @@
 request that gets no permit is placed elsewhere at once.
 """
 
+import copy
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -198,6 +199,13 @@
         """Records that a holder has not responded."""
         self.silent_until[holder] = now + MAX_WAIT_S
 
+    def copy(self) -> "LimitAdmission":
+        """Returns a copy whose buckets are its own; the rest is only read."""
+        copied = copy.copy(self)
+        copied.buckets = {x: copy.copy(y) for x, y in self.buckets.items()}
+        copied.known_holders = dict(self.known_holders)
+        return copied
+
     def forget(self, target_id: str) -> None:
         """Drops the state of a target that has no limit any more."""
         self.buckets.pop(target_id, None)
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -114,6 +114,12 @@
             load = self.loads[target_id] = TargetLoad()
         return load
 
+    def copy(self) -> "LoadTable":
+        """Returns a table of the same loads, which adds none to this one."""
+        copied = LoadTable()
+        copied.loads = dict(self.loads)
+        return copied
+
     def forget_failures(self) -> None:
         """Forgets the connection failures of all targets."""
         for load in self.loads.values():
--- a/packages/gateway/sardinewheel_gateway/policy/objects.py
+++ b/packages/gateway/sardinewheel_gateway/policy/objects.py
@@ -10,9 +10,8 @@
 assigned in the order of their keys, as by earlier builds. The load of an object
 is the number of routes that use it. Each host assigns the objects that it
 knows; hosts with the same objects and targets compute the same assignment
-without communication. A
-target that joins, leaves or changes its size moves few objects; a higher
-``LOAD_BOUND_FACTOR`` moves fewer.
+without communication. A target that joins, leaves or changes its size moves few
+objects; a higher ``LOAD_BOUND_FACTOR`` moves fewer.
 """
 
 import math
@@ -88,6 +87,15 @@
         found = self.preferences.get(key)
         return found or _first_two(self._first(key))
 
+    def copy(self) -> "ObjectMap":
+        """Returns a copy whose changes leave this map as it is."""
+        copied = ObjectMap()
+        copied.routes = {key: set(uses) for key, uses in self.routes.items()}
+        copied.ranking = self.ranking.copy()
+        copied.preferences = dict(self.preferences)
+        copied.is_stale = self.is_stale
+        return copied
+
     def _set_targets(self, targets: Mapping[str, int]) -> None:
         """Replaces the targets; equal ones cost no more than a comparison."""
         if targets == self.ranking.weights:
@@ -243,6 +251,13 @@
             found = self.maps[service] = ObjectMap()
         return found
 
+    def copy(self, service: str) -> "ObjectTable":
+        """Returns a copy with the objects of one service."""
+        copied = ObjectTable()
+        if service in self.maps:
+            copied.maps[service] = self.maps[service].copy()
+        return copied
+
     def record_use(self, use: ObjectUse) -> None:
         """Records the object of a request handled by this host."""
         if self.of(use.service).add(use.key, use.route):
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -188,7 +188,7 @@
 
     def place(self, request: PlacementRequest, now: float) -> Placed | Refused:
         """Returns the target for a request, or a refusal."""
-        usable = self._usable(request)
+        usable = self.usable_targets(request)
         if not usable.ids:
             return Refused(
                 "no-target", self._retry_after_s(NO_TARGET_RETRY_AFTER_S)
@@ -237,7 +237,28 @@
         )
         return Refused("targets-limited", wait_s)
 
-    def _usable(self, request: PlacementRequest) -> UsableTargets:
+    def copy(self, service: str, rng: random.Random) -> "Placer":
+        """Returns a placer of the same state, whose choices change none of it.
+
+        Args:
+            service: The service whose requests it can place.
+            rng: Its source of random numbers.
+        """
+        copied = Placer(
+            target_table=self.target_table,
+            loads=self.loads.copy(),
+            announcements=self.announcements,
+            limit_admission=self.limit_admission.copy(),
+            cold_admission=self.cold_admission.copy(),
+            regions=self.regions,
+            rng=rng,
+        )
+        copied.objects = self.objects.copy(service)
+        copied.cold_rates = self.cold_rates
+        return copied
+
+    def usable_targets(self, request: PlacementRequest) -> UsableTargets:
+        """Returns the targets that may execute a request, also if not now."""
         source = self.target_table.usable(request.service)
         homes = request.home_regions
         known = self.usable.get((request.service, homes))
@@ -260,7 +281,7 @@
         self, request: PlacementRequest, usable: UsableTargets, now: float
     ) -> list[Placed]:
         """Returns up to two available targets in order of preference."""
-        preferred = self._preferred(request, usable)
+        preferred = self.preferred(request, usable)
         found = self._available(preferred, usable.by_id, request, now)
         if found:
             return found
@@ -279,7 +300,7 @@
         The next ones in the order of the object come first: they have handled
         it if the preferred ones are unavailable for some time.
         """
-        order = self._order(request)
+        order = self.order(request)
         following = [x for x in order if x not in preferred]
         for placed in self._available(following, usable.by_id, request, now):
             if placed.load < SPILLOVER_LOAD:
@@ -289,15 +310,16 @@
         others = self._available(rest, usable.by_id, request, now)
         return min(others, key=lambda placed: placed.load, default=None)
 
-    def _order(self, request: PlacementRequest) -> list[str]:
+    def order(self, request: PlacementRequest) -> list[str]:
         """Returns the first targets in the order of the request's object."""
         if not request.object_key:
             return []
         return self.objects.of(request.service).order(request.object_key)
 
-    def _preferred(
+    def preferred(
         self, request: PlacementRequest, usable: UsableTargets
     ) -> list[str]:
+        """Returns up to two targets to try first; records the object's use."""
         if not request.object_key:
             return usable.sample(self.rng)
         use = ObjectUse(request.service, request.route.name, request.object_key)
@@ -315,27 +337,43 @@
         now: float,
     ) -> list[Placed]:
         """Returns the targets that may receive this request now."""
-        found = []
-        for rank, target_id in enumerate(ids):
-            target = by_id[target_id]
-            load = self.loads.of(target_id)
-            if target_id in request.tried or load.is_down(now):
-                continue
-            if load.pause_left_s(now):
-                continue
-            if load.error_share > ERROR_SHARE_LIMIT and rank == 0:
-                continue
-            if not self._admits_cold(target, now):
-                continue
-            limit = self.announcements.limits.get(target_id)
-            if limit is not None and self.limit_admission.wait_s(
-                target_id, limit, now, is_urgent=request.is_urgent
-            ):
-                continue
-            relative = load.estimate(now) / max(1, target.record.slots)
-            age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-            found.append(Placed(target, relative, f"rank-{rank}", age_s, limit))
-        return found
+        return [
+            self.placed(by_id[target_id], rank, now)
+            for rank, target_id in enumerate(ids)
+            if not self.obstacle(by_id[target_id], request, rank, now)
+        ]
+
+    def placed(self, target: Target, rank: int, now: float) -> Placed:
+        """Returns the choice of a target, with the data behind it."""
+        target_id = target.record.target_id
+        load = self.loads.of(target_id)
+        relative = load.estimate(now) / max(1, target.record.slots)
+        age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
+        limit = self.announcements.limits.get(target_id)
+        return Placed(target, relative, f"rank-{rank}", age_s, limit)
+
+    def obstacle(
+        self, target: Target, request: PlacementRequest, rank: int, now: float
+    ) -> str:
+        """Returns why a target may not receive a request now, or ``""``."""
+        target_id = target.record.target_id
+        load = self.loads.of(target_id)
+        if target_id in request.tried:
+            return "tried"
+        if load.is_down(now):
+            return "down"
+        if load.pause_left_s(now):
+            return "paused"
+        if load.error_share > ERROR_SHARE_LIMIT and rank == 0:
+            return "errors"
+        if not self._admits_cold(target, now):
+            return "cold"
+        limit = self.announcements.limits.get(target_id)
+        if limit is not None and self.limit_admission.wait_s(
+            target_id, limit, now, is_urgent=request.is_urgent
+        ):
+            return "limited"
+        return ""
 
     def _admits_cold(self, target: Target, now: float) -> bool:
         if not target.is_cold(now):
--- a/packages/gateway/sardinewheel_gateway/policy/ranking.py
+++ b/packages/gateway/sardinewheel_gateway/policy/ranking.py
@@ -122,6 +122,14 @@
                 has_all=has_all,
             )
 
+    def copy(self) -> "Ranking":
+        """Returns a copy whose changes leave this ranking as it is."""
+        copied = Ranking()
+        copied.weights = self.weights
+        ranks = self.cached_ranks.items()
+        copied.cached_ranks = {key: list(cached) for key, cached in ranks}
+        return copied
+
     @property
     def _needed(self) -> int:
         return min(MIN_CACHED_RANKS, len(self.weights))
--- a/packages/gateway/sardinewheel_gateway/policy/routes.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routes.py
@@ -184,15 +184,25 @@
         """Returns the service for the next request of a route."""
         if len(route.shares) == 1:
             return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        key = (route.name, route.shares)
-        credit = self.credits.setdefault(key, [0.0] * len(weights))
-        for index, weight in enumerate(weights):
-            credit[index] += weight
-        chosen = max(range(len(weights)), key=credit.__getitem__)
-        credit[chosen] -= sum(weights)
+        credit = self._next_credit(route)
+        chosen = max(range(len(credit)), key=credit.__getitem__)
+        credit[chosen] -= sum(share.weight for share in route.shares)
+        self.credits[route.name, route.shares] = credit
+        return route.shares[chosen].service
+
+    def peek(self, route: Route) -> str:
+        """Returns what :meth:`choose` would, and changes nothing."""
+        credit = self._next_credit(route)
+        chosen = max(range(len(credit)), key=credit.__getitem__)
         return route.shares[chosen].service
 
+    def _next_credit(self, route: Route) -> list[float]:
+        """Returns the credit of each share once the next request counts."""
+        key = (route.name, route.shares)
+        credit = self.credits.get(key, [0.0] * len(route.shares))
+        weighed = zip(credit, route.shares, strict=True)
+        return [left + share.weight for left, share in weighed]
+
     def keep(self, routes: Iterable[Route]) -> None:
         """Drops the state of splits that are not in ``routes``."""
         keys = {(route.name, route.shares) for route in routes}
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -11,7 +11,7 @@
 import gevent
 import gevent.event
 
-from sardinewheel_gateway import clock, crash_operations
+from sardinewheel_gateway import clock, crash_operations, explain_operations
 from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.crash_exchange import CrashExchange
 from sardinewheel_gateway.exchange import Exchange
@@ -313,6 +313,8 @@
             exchange.respond(OK, CBOR_HEADERS, body)
         elif crash_operations.is_crash_operation(path):
             crash_operations.handle(exchange, self.crash_exchange)
+        elif explain_operations.is_explain_operation(path):
+            explain_operations.handle(exchange, self.routing_state)
         elif path.startswith(METRICS_PATH):
             body = self.metrics.text(
                 self._gauges(), self.log.events, self._known_hosts()
