Admit by learnt work, time left and fair shares when room is short

Cause: placement knew a target's load only, so under overload queues grew until responses came after the objective, requests were executed whose callers had left, and the first come took the room. Ruled out: a lower fixed bound on load; it refuses at single full targets while the service has room (emulated surge, hot objects). Change: times of execution are learnt by route; a target's momentary slowdown counts by its age; a request that can't finish in its time is refused at once; the bound on load falls with the share refused; accounts and routes above their max-min share are refused earlier, starved ones later.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -295,6 +295,7 @@
         self, exchange: ClientExchange, request: Request, placed: Placed
     ) -> Answered:
         record = placed.target.record
+        began = clock.steady()
         response = exchange.run(self._build_request(request, record.target_id))
         self.path_monitor.record_reached()
         response_info = self.adapter.response_info(
@@ -308,6 +309,10 @@
             now=clock.steady(),
         )
         answered = Answered(response, response_info, placed, exchange)
+        if answered.has_succeeded and response_info.is_authentic:
+            self.routing_state.record_work(
+                request.route, placed, clock.steady() - began
+            )
         if answered.has_succeeded and not exchange.is_streaming:
             self.on_completion(request.digest)
         if not response_info.is_other_target:
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -1,8 +1,18 @@
-"""Load and health of each target as observed by this host."""
+"""Load and health of each target as observed by this host.
 
+Answers targets whose speed changes many times a second: a reported slowdown
+counts less the older it is.
+"""
+
+import math
 from typing import NamedTuple
 
 MAX_REPORT_AGE_S = 2.0
+# Time after which a reported slowdown counts 1/e.
+SLOWDOWN_MEMORY_S = 0.5
+# Bounds on a reported slowdown, which may be false.
+MIN_SLOWDOWN = 0.5
+MAX_SLOWDOWN = 5.0
 FIRST_BACKOFF_S = 0.4
 MAX_BACKOFF_S = 3.0
 ERROR_SHARE_WEIGHT = 0.15
@@ -31,6 +41,7 @@
     Attributes:
         in_flight: Requests of this host that await a response of the target.
         others_in_flight: Requests of other hosts at the last report.
+        slowdown: Slowdown at the last report.
         reported_at: Time of the last report, in seconds of the monotonic
             clock.
         retry_at: Time from which it may be tried again after a failure.
@@ -44,6 +55,7 @@
     def __init__(self):
         self.in_flight = 0
         self.others_in_flight = 0.0
+        self.slowdown = 1.0
         self.reported_at = float("-inf")
         self.retry_at = float("-inf")
         self.failures = 0
@@ -58,8 +70,23 @@
         """
         total = load.running + load.waiting
         self.others_in_flight = max(0.0, total - (self.in_flight - 1))
+        self.slowdown = max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, load.slowdown))
         self.reported_at = now
 
+    def slowdown_at(self, now: float) -> float:
+        """Returns the slowdown to expect, which tends to 1 with age.
+
+        Examples:
+            >>> load = TargetLoad()
+            >>> load.record_load_report(ReportedLoad(1, 0, 3, 2.5), now=1.0)
+            >>> load.slowdown_at(1.0), load.slowdown_at(9.0) < 1.01
+            (2.5, True)
+        """
+        age_s = max(0.0, now - self.reported_at)
+        return 1.0 + (self.slowdown - 1.0) * math.exp(
+            -age_s / SLOWDOWN_MEMORY_S
+        )
+
     def estimate(self, now: float) -> float:
         """Returns the estimated number of requests at the target."""
         age = now - self.reported_at
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -20,6 +20,7 @@
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
+from sardinewheel_gateway.policy.room import Bound, Room
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.targets import Target, TargetTable
 
@@ -81,6 +82,7 @@
         load_age_s: Seconds since the target last reported its load, at most
             ``MAX_LOAD_AGE_S``, also if it never has.
         limit: Limit that the target names, if any.
+        slowdown: Time that work takes there now, relative to the usual time.
     """
 
     target: Target
@@ -88,6 +90,12 @@
     choice: str
     load_age_s: float = 0.0
     limit: Limit | None = None
+    slowdown: float = 1.0
+
+    @property
+    def delay(self) -> float:
+        """Load, as it would be without the slowdown of the target."""
+        return self.load * self.slowdown
 
 
 class Refused(NamedTuple):
@@ -95,8 +103,8 @@
 
     Attributes:
         reason: ``no-target``, ``targets-down``, ``targets-limited``,
-            ``targets-paused`` or ``overload`` from the placer; other reasons
-            come from the attempts and their limits.
+            ``targets-paused``, ``deadline-unreachable`` or ``overload`` from
+            the placer; other reasons come from the attempts and their limits.
         retry_after_s: Seconds after which the caller may retry.
         load: Load of the best target divided by its slots; 0 without one.
     """
@@ -140,6 +148,7 @@
         cold_rates: Requests per second that a cold target can handle, by
             service.
         regions: Region of each failure domain.
+        room: Decides who is admitted to targets that are short of room.
         usable: Cache of usable targets by service and home regions.
     """
 
@@ -161,6 +170,7 @@
         self.cold_admission = cold_admission
         self.regions = regions
         self.rng = rng
+        self.room = Room(Bound(FULL_LOAD, URGENT_FULL_LOAD), rng)
         self.objects = ObjectTable()
         self.cold_rates: dict[str, float] = {}
         self.usable: dict[tuple[str, frozenset[str]], UsableTargets] = {}
@@ -175,17 +185,24 @@
         candidates = self._candidates(request, usable, now)
         if not candidates:
             return self._refuse_without_candidates(request, usable, now)
-        first = candidates[0]
-        if first.load < SPILLOVER_LOAD or len(candidates) == 1:
-            best = first
+        best = _best(candidates)
+        refused = self._refuse_for_room(request, best, now)
+        self.room.record_decision(request, now, is_admitted=refused is None)
+        return best if refused is None else refused
+
+    def _refuse_for_room(
+        self, request: PlacementRequest, best: Placed, now: float
+    ) -> Refused | None:
+        """Returns the refusal of a request for which there is no room."""
+        if self.room.is_hopeless(request, best, now):
+            reason = "deadline-unreachable"
+        elif best.load >= self.room.full_load(request, now):
+            reason = "overload"
         else:
-            best = min(candidates, key=lambda placed: placed.load)
-        if best.load >= (URGENT_FULL_LOAD if request.is_urgent else FULL_LOAD):
-            wait_s = (
-                (best.load - FULL_LOAD + 1.0) * request.route.objective_s / 4
-            )
-            return Refused("overload", self._retry_after_s(wait_s), best.load)
-        return best
+            return None
+        wait_s = self.room.drain_s(request, best.load, now)
+        wait_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
+        return Refused(reason, wait_s, best.load)
 
     def _refuse_without_candidates(
         self, request: PlacementRequest, usable: UsableTargets, now: float
@@ -313,7 +330,11 @@
                 continue
             relative = load.estimate(now) / max(1, target.record.slots)
             age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-            found.append(Placed(target, relative, f"rank-{rank}", age_s, limit))
+            slowdown = load.slowdown_at(now)
+            rank_name = f"rank-{rank}"
+            found.append(
+                Placed(target, relative, rank_name, age_s, limit, slowdown)
+            )
         return found
 
     def _admits_cold(self, target: Target, now: float) -> bool:
@@ -325,3 +346,11 @@
     def _retry_after_s(self, wait_s: float) -> float:
         spread = 1.0 + RETRY_AFTER_JITTER * self.rng.random()
         return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s * spread))
+
+
+def _best(candidates: list[Placed]) -> Placed:
+    """Returns the first target unless it is busy and the second one less so."""
+    first = candidates[0]
+    if first.delay < SPILLOVER_LOAD:
+        return first
+    return min(candidates, key=lambda placed: placed.delay)
--- /dev/null
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -0,0 +1,200 @@
+"""Decides who gets the room of a target when there is too little.
+
+Answers demand above what targets execute. Without it, queues grow until most
+responses come after the latency objective, requests are executed whose callers
+have left, and who comes first or most often gets the room.
+
+Until the work of a route is known, and for callers without account at a service
+of one route, only the usual bound on load applies.
+"""
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from sardinewheel_gateway.policy.fair_share import FairShare
+from sardinewheel_gateway.policy.finish_estimate import (
+    FinishEstimate,
+    queue_per_slot,
+)
+from sardinewheel_gateway.policy.work_times import Work, WorkTimes
+
+if TYPE_CHECKING:
+    from sardinewheel_gateway.policy.placement import Placed, PlacementRequest
+
+# A request is refused if this part of its estimated time exceeds the time that
+# its caller has left: a wrong refusal costs more than a wrong attempt.
+CERTAIN_PART = 0.85
+# Lowest bound on load: below it a refusal would leave room free, as other
+# hosts' requests are known late.
+MIN_FULL_LOAD = 1.5
+# Recent shares of admitted work at which a service isn't short of room, and at
+# which bounds on load are as low as responses in time need.
+AMPLE_SHARE = 0.95
+SHORT_SHARE = 0.7
+# Load by which a key that uses more than its share is refused earlier.
+OVER_SHARE_LOAD = 0.75
+# Part of the time that a caller has left up to which it heeds a retry time.
+HEEDED_PART = 0.33
+MIN_DRAIN_PART = 0.5
+MAX_DRAIN_PART = 1.5
+
+
+class Bound(NamedTuple):
+    """Loads from which requests are refused, by what is known of targets.
+
+    Attributes:
+        normal: Bound for the least urgent requests of a service.
+        urgent: Bound for all others.
+    """
+
+    normal: float
+    urgent: float
+
+
+class Room:
+    """Admission of requests to targets that are short of room.
+
+    Attributes:
+        bound: Usual bounds on load; none is exceeded.
+        work_times: Learnt times of execution.
+        account_shares: Recent demand of the accounts of each service.
+        route_shares: Recent demand of the routes of each service.
+        rng: Source of the spread of retry times.
+    """
+
+    def __init__(self, bound: Bound, rng: random.Random):
+        self.bound = bound
+        self.rng = rng
+        self.work_times = WorkTimes()
+        self.account_shares: dict[str, FairShare] = {}
+        self.route_shares: dict[str, FairShare] = {}
+
+    def full_load(self, request: "PlacementRequest", now: float) -> float:
+        """Returns the load from which a request is refused now."""
+        usual = self.bound.urgent if request.is_urgent else self.bound.normal
+        work = work_of(request)
+        if not self.work_times.is_known(work):
+            return usual
+        extra = usual - self.bound.normal
+        full_load = self._full_load_of(work, now) + extra
+        if self._is_starved(request, now):
+            return self.bound.urgent
+        if self._is_over_share(request, now):
+            full_load -= OVER_SHARE_LOAD
+        return full_load
+
+    def finish_s(self, request: "PlacementRequest", placed: "Placed") -> float:
+        """Returns the estimated seconds until a target would respond.
+
+        It is 0 while the work of the route is unknown.
+        """
+        work = work_of(request)
+        if not self.work_times.is_known(work):
+            return 0.0
+        return FinishEstimate.of(
+            load=placed.load,
+            slots=placed.target.record.slots,
+            slowdown=placed.slowdown,
+            work_s=self.work_times.of_route(work),
+            service_work_s=self.work_times.of_service(work),
+        ).finish_s
+
+    def is_hopeless(
+        self, request: "PlacementRequest", placed: "Placed", now: float
+    ) -> bool:
+        """Returns whether a response would come after the deadline."""
+        left_s = request.deadline - now
+        return CERTAIN_PART * self.finish_s(request, placed) > left_s
+
+    def drain_s(
+        self, request: "PlacementRequest", load: float, now: float
+    ) -> float:
+        """Returns the seconds until a queue is short enough, spread at random.
+
+        Callers that were refused together don't return together, and none is
+        told to return later than it heeds.
+        """
+        work = work_of(request)
+        excess = 1.0 + max(0.0, load - self.bound.normal)
+        drain_s = excess * self.work_times.of_service(work)
+        drain_s *= self.rng.uniform(MIN_DRAIN_PART, MAX_DRAIN_PART)
+        return min(drain_s, HEEDED_PART * max(0.0, request.deadline - now))
+
+    def record_decision(
+        self, request: "PlacementRequest", now: float, *, is_admitted: bool
+    ) -> None:
+        """Counts the first decision on a request for the shares."""
+        if request.tried:
+            return
+        work_s = self.work_times.of_route(work_of(request))
+        routes = self.route_shares.setdefault(request.service, FairShare())
+        routes.record(
+            request.route.name, work_s, now=now, is_admitted=is_admitted
+        )
+        if request.account is None:
+            return
+        accounts = self.account_shares.setdefault(request.service, FairShare())
+        accounts.record(
+            request.account.name,
+            work_s,
+            now=now,
+            is_admitted=is_admitted,
+            weight=request.account.rate_per_s or 1.0,
+        )
+
+    def record_response(
+        self, request_work: Work, placed: "Placed", response_s: float
+    ) -> None:
+        """Learns from the response time of a request that was executed."""
+        self.work_times.record(
+            request_work,
+            response_s=response_s,
+            queue=queue_per_slot(placed.load, placed.target.record.slots),
+        )
+
+    def _full_load_of(self, work: Work, now: float) -> float:
+        """Returns the bound on load for the least urgent requests.
+
+        A single target that is full doesn't make a service short of room: the
+        bound falls towards the load at which responses are in time with the
+        share of requests that was refused.
+        """
+        spare_s = work.objective_s - self.work_times.of_route(work)
+        in_time = 1.0 + spare_s / self.work_times.of_service(work)
+        in_time = max(MIN_FULL_LOAD, min(self.bound.normal, in_time))
+        shortage = self._shortage(work.service, now)
+        return self.bound.normal - shortage * (self.bound.normal - in_time)
+
+    def _shortage(self, service: str, now: float) -> float:
+        """Returns how short of room a service is, from 0 to 1."""
+        shares = self.route_shares.get(service)
+        if shares is None:
+            return 0.0
+        missing = AMPLE_SHARE - shares.served_share_at(now)
+        return max(0.0, min(1.0, missing / (AMPLE_SHARE - SHORT_SHARE)))
+
+    def _is_over_share(self, request: "PlacementRequest", now: float) -> bool:
+        shares = self._shares(request)
+        return any(share.is_over(key, now) for share, key in shares)
+
+    def _is_starved(self, request: "PlacementRequest", now: float) -> bool:
+        shares = self._shares(request)
+        return any(share.is_starved(key, now) for share, key in shares)
+
+    def _shares(
+        self, request: "PlacementRequest"
+    ) -> list[tuple[FairShare, str]]:
+        found = []
+        routes = self.route_shares.get(request.service)
+        if routes is not None:
+            found.append((routes, request.route.name))
+        accounts = self.account_shares.get(request.service)
+        if accounts is not None and request.account is not None:
+            found.append((accounts, request.account.name))
+        return found
+
+
+def work_of(request: "PlacementRequest") -> Work:
+    """Returns the work that a request asks of its service."""
+    route = request.route
+    return Work(request.service, route.name, route.objective_s)
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -14,7 +14,7 @@
 from sardinewheel_gateway.policy.crash_suspects import CrashSuspects
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.placement import Placed, Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
     Configuration,
@@ -23,6 +23,7 @@
     SplitChooser,
 )
 from sardinewheel_gateway.policy.targets import Target, TargetTable
+from sardinewheel_gateway.policy.work_times import Work
 
 # Part of a pause by which hosts extend it at random, so that they do not return
 # to the target all at once.
@@ -123,6 +124,9 @@
         self.route_table = RouteTable(configuration.routes)
         self.splits.keep(configuration.routes)
         self.placer.objects.keep(route.name for route in configuration.routes)
+        self.placer.room.work_times.keep(
+            {route.name for route in configuration.routes}
+        )
         for name, service in configuration.services.items():
             self.target_table.cold_periods_s[name] = service.cold_period_s
             self.placer.cold_rates[name] = service.cold_rate_per_s
@@ -185,6 +189,14 @@
             spread = 1.0 + PAUSE_SPREAD * self.rng.random()
             load.record_pause(response.pause_s * spread, now=now)
 
+    def record_work(
+        self, route: Route, placed: Placed, response_s: float
+    ) -> None:
+        """Records the response time of a request that was executed."""
+        service = placed.target.record.service
+        work = Work(service, route.name, route.objective_s)
+        self.placer.room.record_response(work, placed, response_s)
+
     def record_announcement(
         self, target: Target, announcement: Announcement, *, now: float
     ) -> Change | None:
--- a/packages/testing/sardinewheel_testing/emulator/hosts.py
+++ b/packages/testing/sardinewheel_testing/emulator/hosts.py
@@ -140,6 +140,7 @@
             object_key=attempt.object_key,
             is_urgent=self.routing_state.is_urgent(route, SERVICE),
             tried=tried,
+            deadline=attempt.deadline,
         )
 
     def handle(self, attempt: Attempt) -> None:
@@ -252,6 +253,7 @@
         target = self.targets[placed.target.record.target_id]
         load = self.routing_state.loads.of(target.target_id)
         load.in_flight += 1
+        sent_at = self.scheduler.now
         delay_s = network_delay_s(self.region, target.region)
         if self.path.is_cut:
             self.scheduler.call_later(
@@ -264,6 +266,10 @@
             was_executed: bool, report: ReportedLoad, announcement: Announcement
         ) -> None:
             response = TargetResponse(was_executed, False, report)
+            if was_executed:
+                took_s = self.scheduler.now + delay_s - sent_at
+                route = self.placement_request(attempt, tried).route
+                self.routing_state.record_work(route, placed, took_s)
             self.scheduler.call_later(
                 delay_s,
                 lambda: self._on_response(
