Learn from timeouts, try free slots and lift starved requests less

Cause: requests that timed out left no observation, so estimates counted the quick ones only; a refusal came though a sampled target was idle in part; and starved requests were admitted up to the highest load, where all are late. Change: a timeout counts as a lower bound; a request without room elsewhere goes to a target that has just reported a free slot; starved requests get the bound of urgent ones.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -354,6 +354,9 @@
         self, request: Request, placed: Placed, sent_at: float
     ) -> TimedOut:
         target = placed.target
+        self.routing_state.record_late(
+            request.route, placed, clock.steady() - sent_at
+        )
         if self.routing_state.record_target_timeout(
             target, sent_at, clock.steady()
         ):
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -39,6 +39,10 @@
 NO_TARGET_RETRY_AFTER_S = 0.5
 MAX_LOAD_AGE_S = 999.0
 MAX_CACHED_USABLE = 64
+# Targets asked for a free slot before a refusal, and the age up to which the
+# report of one holds.
+FREE_SLOT_SAMPLES = 4
+MAX_FREE_SLOT_AGE_S = 0.5
 
 
 class PlacementRequest(NamedTuple):
@@ -187,6 +191,9 @@
             return self._refuse_without_candidates(request, usable, now)
         best = _best(candidates)
         refused = self._refuse_for_room(request, best, now)
+        if refused is not None:
+            free = self._with_free_slot(request, usable, now)
+            best, refused = (best, refused) if free is None else (free, None)
         self.room.record_decision(request, now, is_admitted=refused is None)
         return best if refused is None else refused
 
@@ -285,6 +292,18 @@
         others = self._available(rest, usable.by_id, request, now)
         return min(others, key=lambda placed: placed.load, default=None)
 
+    def _with_free_slot(
+        self, request: PlacementRequest, usable: UsableTargets, now: float
+    ) -> Placed | None:
+        """Returns a target known to be idle in part, of a few at random."""
+        count = min(FREE_SLOT_SAMPLES, len(usable.ids))
+        sampled = self.rng.sample(usable.ids, count)
+        for placed in self._available(sampled, usable.by_id, request, now):
+            is_fresh = placed.load_age_s < MAX_FREE_SLOT_AGE_S
+            if is_fresh and placed.delay < 1.0:
+                return placed._replace(choice="spare")
+        return None
+
     def _order(self, request: PlacementRequest) -> list[str]:
         """Returns the first targets in the order of the request's object."""
         if not request.object_key:
--- a/packages/gateway/sardinewheel_gateway/policy/room.py
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -75,10 +75,9 @@
         work = work_of(request)
         if not self.work_times.is_known(work):
             return usual
-        extra = usual - self.bound.normal
-        full_load = self._full_load_of(work, now) + extra
-        if self._is_starved(request, now):
-            return self.bound.urgent
+        full_load = self._full_load_of(work, now)
+        if request.is_urgent or self._is_starved(request, now):
+            full_load += self.bound.urgent - self.bound.normal
         if self._is_over_share(request, now):
             full_load -= OVER_SHARE_LOAD
         return full_load
@@ -102,7 +101,13 @@
     def is_hopeless(
         self, request: "PlacementRequest", placed: "Placed", now: float
     ) -> bool:
-        """Returns whether a response would come after the deadline."""
+        """Returns whether a response would come after the deadline.
+
+        A target with a free slot is always tried: an estimate that is too long
+        would otherwise never be corrected.
+        """
+        if not queue_per_slot(placed.load, placed.target.record.slots):
+            return False
         left_s = request.deadline - now
         return CERTAIN_PART * self.finish_s(request, placed) > left_s
 
@@ -152,6 +157,16 @@
             queue=queue_per_slot(placed.load, placed.target.record.slots),
         )
 
+    def record_timeout(
+        self, request_work: Work, placed: "Placed", waited_s: float
+    ) -> None:
+        """Learns from a request that got no response in its time."""
+        self.work_times.record_lower_bound(
+            request_work,
+            waited_s=waited_s,
+            queue=queue_per_slot(placed.load, placed.target.record.slots),
+        )
+
     def _full_load_of(self, work: Work, now: float) -> float:
         """Returns the bound on load for the least urgent requests.
 
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -193,10 +193,16 @@
         self, route: Route, placed: Placed, response_s: float
     ) -> None:
         """Records the response time of a request that was executed."""
-        service = placed.target.record.service
-        work = Work(service, route.name, route.objective_s)
+        work = _work_at(placed, route)
         self.placer.room.record_response(work, placed, response_s)
 
+    def record_late(
+        self, route: Route, placed: Placed, waited_s: float
+    ) -> None:
+        """Records a request that got no response in its time."""
+        work = _work_at(placed, route)
+        self.placer.room.record_timeout(work, placed, waited_s)
+
     def record_announcement(
         self, target: Target, announcement: Announcement, *, now: float
     ) -> Change | None:
@@ -287,3 +293,9 @@
             for share in route.shares:
                 known = self.lowest_priorities.get(share.service, 0)
                 self.lowest_priorities[share.service] = max(known, lowest)
+
+
+def _work_at(placed: Placed, route: Route) -> Work:
+    """Returns the work of a route at the service of a target."""
+    service = placed.target.record.service
+    return Work(service, route.name, route.objective_s)
--- a/packages/gateway/sardinewheel_gateway/policy/work_times.py
+++ b/packages/gateway/sardinewheel_gateway/policy/work_times.py
@@ -18,7 +18,7 @@
 ROUTE_WEIGHT = 0.05
 SERVICE_WEIGHT = 0.02
 # Observations from which an estimate counts as known.
-MIN_OBSERVATIONS = 8
+MIN_OBSERVATIONS = 3
 
 
 class Work(NamedTuple):
@@ -94,6 +94,16 @@
         service = self.by_service.setdefault(work.service, LearntTime(work_s))
         service.record(work_s, weight=SERVICE_WEIGHT)
 
+    def record_lower_bound(
+        self, work: Work, *, waited_s: float, queue: float
+    ) -> None:
+        """Records a request that got no response; it takes at least so long.
+
+        Without it, only the requests that were quick enough would count.
+        """
+        if waited_s / (1.0 + max(0.0, queue)) > self.of_route(work):
+            self.record(work, response_s=waited_s, queue=queue)
+
     def of_route(self, work: Work) -> float:
         """Returns the seconds of execution; at first the objective."""
         learnt = self.by_route.get((work.service, work.route))
