--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -210,7 +210,7 @@
             reason = "overload"
         else:
             return None
-        wait_s = self.room.drain_s(request, best.expected_load, now)
+        wait_s = self.room.drain_s(request, best.expected_load)
         wait_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
         return Refused(reason, wait_s, best.load)
 
--- a/packages/gateway/sardinewheel_gateway/policy/room.py
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -34,8 +34,6 @@
 SHORT_SHARE = 0.7
 # Load by which a key that uses more than its share is refused earlier.
 OVER_SHARE_LOAD = 1.0
-# Part of the time that a caller has left up to which it heeds a retry time.
-HEEDED_PART = 0.33
 MIN_DRAIN_PART = 0.5
 MAX_DRAIN_PART = 1.5
 
@@ -118,19 +116,16 @@
         left_s = request.deadline - now
         return CERTAIN_PART * self.finish_s(request, placed) > left_s
 
-    def drain_s(
-        self, request: "PlacementRequest", load: float, now: float
-    ) -> float:
+    def drain_s(self, request: "PlacementRequest", load: float) -> float:
         """Returns the seconds until a queue is short enough, spread at random.
 
-        Callers that were refused together don't return together, and none is
-        told to return later than it heeds.
+        Callers that were refused together don't return together. One with
+        little time left returns earlier by itself.
         """
         work = work_of(request)
         excess = 1.0 + max(0.0, load - self.bound.normal)
         drain_s = excess * self.work_times.of_service(work)
-        drain_s *= self.rng.uniform(MIN_DRAIN_PART, MAX_DRAIN_PART)
-        return min(drain_s, HEEDED_PART * max(0.0, request.deadline - now))
+        return drain_s * self.rng.uniform(MIN_DRAIN_PART, MAX_DRAIN_PART)
 
     def record_decision(
         self, request: "PlacementRequest", now: float, *, is_admitted: bool
