--- a/packages/cli/sardinewheel_cli/request_trace.py
+++ b/packages/cli/sardinewheel_cli/request_trace.py
@@ -57,6 +57,7 @@
     "targets-down": "every remaining target had just failed or was cold",
     "targets-limited": "its targets accept a limited rate, which was used up",
     "targets-paused": "its targets had asked this host to wait",
+    "deadline-unreachable": "no target would have responded in its time",
     "path-lost": "the host reached no target, and no other host took it",
     "crashes-targets": "requests like it have crashed several targets",
     "no-route": "no route of the configuration in force allows it",
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -113,7 +113,8 @@
             ``targets-paused``, ``deadline-unreachable`` or ``overload`` from
             the placer; other reasons come from the attempts and their limits.
         retry_after_s: Seconds after which the caller may retry.
-        load: Load of the best target divided by its slots; 0 without one.
+        load: Load expected at the best target, divided by its slots; 0 without
+            one.
     """
 
     reason: str
@@ -212,7 +213,7 @@
             return None
         wait_s = self.room.drain_s(request, best.expected_load)
         wait_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
-        return Refused(reason, wait_s, best.load)
+        return Refused(reason, wait_s, best.expected_load)
 
     def _refuse_without_candidates(
         self, request: PlacementRequest, usable: UsableTargets, now: float
