--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -21,6 +21,7 @@
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
+from sardinewheel_gateway.policy.room import Bound, Room
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.targets import Target, TargetTable
 
@@ -41,6 +42,10 @@
 MAX_CACHED_USABLE = 64
 # Draws for two different targets, where sizes differ.
 MAX_DRAWS = 4
+# Targets asked for a free slot before a refusal, and the age up to which the
+# report of one holds.
+FREE_SLOT_SAMPLES = 4
+MAX_FREE_SLOT_AGE_S = 0.5
 
 
 class PlacementRequest(NamedTuple):
@@ -84,6 +89,9 @@
         load_age_s: Seconds since the target last reported its load, at most
             ``MAX_LOAD_AGE_S``, also if it never has.
         limit: Limit that the target names, if any.
+        slowdown: Time that work takes there now, relative to the usual time.
+        expected_load: ``load``, but nearer to the mean of the service the
+            older the report is.
     """
 
     target: Target
@@ -91,6 +99,13 @@
     choice: str
     load_age_s: float = 0.0
     limit: Limit | None = None
+    slowdown: float = 1.0
+    expected_load: float = 0.0
+
+    @property
+    def delay(self) -> float:
+        """Load, as it would be without the slowdown of the target."""
+        return self.load * self.slowdown
 
 
 class Refused(NamedTuple):
@@ -98,10 +113,11 @@
 
     Attributes:
         reason: ``no-target``, ``targets-down``, ``targets-limited``,
-            ``targets-paused`` or ``overload`` from the placer; other reasons
-            come from the attempts and their limits.
+            ``targets-paused``, ``deadline-unreachable`` or ``overload`` from
+            the placer; other reasons come from the attempts and their limits.
         retry_after_s: Seconds after which the caller may retry.
-        load: Load of the best target divided by its slots; 0 without one.
+        load: Load expected at the best target, divided by its slots; 0 without
+            one.
     """
 
     reason: str
@@ -161,6 +177,7 @@
         cold_rates: Requests per second that a cold target can handle, by
             service.
         regions: Region of each failure domain.
+        room: Decides who is admitted to targets that are short of room.
         usable: Cache of usable targets by service and home regions.
     """
 
@@ -182,6 +199,7 @@
         self.cold_admission = cold_admission
         self.regions = regions
         self.rng = rng
+        self.room = Room(Bound(FULL_LOAD, URGENT_FULL_LOAD), rng)
         self.objects = ObjectTable()
         self.cold_rates: dict[str, float] = {}
         self.usable: dict[tuple[str, frozenset[str]], UsableTargets] = {}
@@ -196,17 +214,27 @@
         candidates = self._candidates(request, usable, now)
         if not candidates:
             return self._refuse_without_candidates(request, usable, now)
-        first = candidates[0]
-        if first.load < SPILLOVER_LOAD or len(candidates) == 1:
-            best = first
+        best = _best(candidates)
+        refused = self._refuse_for_room(request, best, now)
+        if refused is not None and not request.object_key:
+            free = self._with_free_slot(request, usable, now)
+            best, refused = (best, refused) if free is None else (free, None)
+        self.room.record_decision(request, now, is_admitted=refused is None)
+        return best if refused is None else refused
+
+    def _refuse_for_room(
+        self, request: PlacementRequest, best: Placed, now: float
+    ) -> Refused | None:
+        """Returns the refusal of a request for which there is no room."""
+        if self.room.is_hopeless(request, best, now):
+            reason = "deadline-unreachable"
+        elif best.expected_load >= self.room.full_load(request, now):
+            reason = "overload"
         else:
-            best = min(candidates, key=lambda placed: placed.load)
-        if best.load >= (URGENT_FULL_LOAD if request.is_urgent else FULL_LOAD):
-            wait_s = (
-                (best.load - FULL_LOAD + 1.0) * request.route.objective_s / 4
-            )
-            return Refused("overload", self._retry_after_s(wait_s), best.load)
-        return best
+            return None
+        wait_s = self.room.drain_s(request, best.expected_load)
+        wait_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
+        return Refused(reason, wait_s, best.expected_load)
 
     def _refuse_without_candidates(
         self, request: PlacementRequest, usable: UsableTargets, now: float
@@ -255,6 +283,7 @@
         )
         copied.objects = self.objects.copy(service)
         copied.cold_rates = self.cold_rates
+        copied.room = self.room.copy(rng)
         return copied
 
     def usable_targets(self, request: PlacementRequest) -> UsableTargets:
@@ -310,6 +339,22 @@
         others = self._available(rest, usable.by_id, request, now)
         return min(others, key=lambda placed: placed.load, default=None)
 
+    def _with_free_slot(
+        self, request: PlacementRequest, usable: UsableTargets, now: float
+    ) -> Placed | None:
+        """Returns a target known to be idle in part, of a few at random.
+
+        Only for requests without object: others would take three times the
+        work there, and displace objects that the target knows.
+        """
+        count = min(FREE_SLOT_SAMPLES, len(usable.ids))
+        sampled = self.rng.sample(usable.ids, count)
+        for placed in self._available(sampled, usable.by_id, request, now):
+            is_fresh = placed.load_age_s < MAX_FREE_SLOT_AGE_S
+            if is_fresh and placed.delay < 1.0:
+                return placed._replace(choice="spare")
+        return None
+
     def order(self, request: PlacementRequest) -> list[str]:
         """Returns the first targets in the order of the request's object."""
         if not request.object_key:
@@ -349,8 +394,16 @@
         load = self.loads.of(target_id)
         relative = load.estimate(now) / max(1, target.record.slots)
         age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-        limit = self.announcements.limits.get(target_id)
-        return Placed(target, relative, f"rank-{rank}", age_s, limit)
+        service_load = self.room.service_load(target.record.service)
+        return Placed(
+            target,
+            relative,
+            f"rank-{rank}",
+            age_s,
+            limit=self.announcements.limits.get(target_id),
+            slowdown=load.slowdown_at(now),
+            expected_load=service_load.expected(relative, age_s=age_s, now=now),
+        )
 
     def obstacle(
         self, target: Target, request: PlacementRequest, rank: int, now: float
@@ -384,3 +437,11 @@
     def _retry_after_s(self, wait_s: float) -> float:
         spread = 1.0 + RETRY_AFTER_JITTER * self.rng.random()
         return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s * spread))
+
+
+def _best(candidates: list[Placed]) -> Placed:
+    """Returns the first target unless it is busy and the second one less so."""
+    first = candidates[0]
+    if first.delay < SPILLOVER_LOAD:
+        return first
+    return min(candidates, key=lambda placed: placed.delay)
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -14,7 +14,7 @@
 from sardinewheel_gateway.policy.crash_suspects import CrashSuspects
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.placement import Placed, Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
     Configuration,
@@ -23,6 +23,7 @@
     SplitChooser,
 )
 from sardinewheel_gateway.policy.targets import Target, TargetTable
+from sardinewheel_gateway.policy.work_times import Work
 
 # Part of a pause by which hosts extend it at random, so that they do not return
 # to the target all at once.
@@ -123,6 +124,9 @@
         self.route_table = RouteTable(configuration.routes)
         self.splits.keep(configuration.routes)
         self.placer.objects.keep(route.name for route in configuration.routes)
+        self.placer.room.work_times.keep(
+            {route.name for route in configuration.routes}
+        )
         for name, service in configuration.services.items():
             self.target_table.cold_periods_s[name] = service.cold_period_s
             self.placer.cold_rates[name] = service.cold_rate_per_s
@@ -181,10 +185,30 @@
         load.record_response(is_error=is_error, now=now)
         if response.load is not None:
             load.record_load_report(response.load, now=now)
+            # The request that the response is for has left its slot.
+            others = response.load.running + response.load.waiting - 1
+            mean_load = self.placer.room.service_load(target.record.service)
+            mean_load.record(
+                max(0.0, others / max(1, target.record.slots)), now=now
+            )
         if response.pause_s > 0.0:
             spread = 1.0 + PAUSE_SPREAD * self.rng.random()
             load.record_pause(response.pause_s * spread, now=now)
 
+    def record_work(
+        self, route: Route, placed: Placed, response_s: float
+    ) -> None:
+        """Records the response time of a request that was executed."""
+        work = _work_at(placed, route)
+        self.placer.room.record_response(work, placed, response_s)
+
+    def record_late(
+        self, route: Route, placed: Placed, waited_s: float
+    ) -> None:
+        """Records a request that got no response in its time."""
+        work = _work_at(placed, route)
+        self.placer.room.record_timeout(work, placed, waited_s)
+
     def record_announcement(
         self, target: Target, announcement: Announcement, *, now: float
     ) -> Change | None:
@@ -275,3 +299,9 @@
             for share in route.shares:
                 known = self.lowest_priorities.get(share.service, 0)
                 self.lowest_priorities[share.service] = max(known, lowest)
+
+
+def _work_at(placed: Placed, route: Route) -> Work:
+    """Returns the work of a route at the service of a target."""
+    service = placed.target.record.service
+    return Work(service, route.name, route.objective_s)
