--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -31,6 +31,7 @@
     Update,
     from_plain,
 )
+from sardinewheel_gateway.policy.wire import from_fields
 from sardinewheel_gateway.supervision import keep_running
 
 MAX_DATAGRAM_BYTES = 2048
@@ -258,25 +259,23 @@
             replies = self.protocol.handle(message, now=clock.steady())
             self._send_all(replies)
         elif kind == UPDATE:
-            _, name, data = message
+            _, name, data, *_ = message
             self.on_update(from_plain(cbor2.loads(data)), name)
         elif kind == OBJECTS:
-            self.on_objects([ObjectUse(*use) for use in message[1]])
+            self.on_objects([from_fields(ObjectUse, x) for x in message[1]])
         elif kind == ANNOUNCEMENTS:
-            _, name, plain = message
+            _, name, plain, *_ = message
             self.on_announcements(announcements.from_plain(plain), name)
         elif kind == PERMIT_REQUEST:
-            _, *fields, plain = message
-            (report,) = announcements.from_plain(plain)
-            self.on_permit_request(PermitRequest(*fields, report))
+            request = from_fields(PermitRequest, message[1:])
+            report, *_ = announcements.from_plain(request.report)
+            self.on_permit_request(request._replace(report=report))
         elif kind == PERMIT:
-            _, number, wait_s = message
-            self.on_permit(Permit(number, wait_s))
+            self.on_permit(from_fields(Permit, message[1:]))
         elif kind == CRASH_NEWS:
-            _, *fields = message
-            self.on_crash_news(CrashNews(*fields))
+            self.on_crash_news(from_fields(CrashNews, message[1:]))
         elif kind == CRASH_REQUEST:
-            _, address = message
+            _, address, *_ = message
             self.on_crash_request(address)
 
     def _log_discovered_hosts(self, states: list[HostState]) -> None:
--- a/packages/gateway/sardinewheel_gateway/policy/announcements.py
+++ b/packages/gateway/sardinewheel_gateway/policy/announcements.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sardinewheel_gateway.policy.targets import TargetRecord
+from sardinewheel_gateway.policy.wire import from_fields
 
 # An announcement that no host has seen in a response for so long is dropped:
 # without requests to the target, its end would never be noticed.
@@ -243,10 +244,10 @@
     """Returns the reports encoded by ``to_plain``.
 
     Raises:
-        TypeError: The lists do not encode reports.
-        ValueError: A limit is no rate.
+        TypeError: There is no list of reports.
+        ValueError: An item is no report, or a limit is no rate.
     """
-    reports = [Report(*fields) for fields in plain]
+    reports = [from_fields(Report, fields) for fields in plain]
     for report in reports:
         limit_per_s = report.limit_per_s
         if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
--- a/packages/gateway/sardinewheel_gateway/policy/crash_news.py
+++ b/packages/gateway/sardinewheel_gateway/policy/crash_news.py
@@ -92,11 +92,14 @@
 def from_plain(plain: Iterable[list], now: float) -> list[Item]:
     """Returns the items encoded by ``to_plain``.
 
+    Items of kinds of later builds are left out.
+
     Raises:
         TypeError: The lists do not encode items.
         ValueError: A field is out of its range.
     """
-    return [_item_from_plain(*fields, now=now) for fields in plain]
+    items = (_item_from_plain(*fields, now=now) for fields in plain)
+    return [item for item in items if item is not None]
 
 
 def _item_to_plain(item: Item, now: float) -> list:
@@ -112,23 +115,26 @@
     raise TypeError(f"{item!r} is no news")
 
 
-def _item_from_plain(kind: int, digest: str, *fields: Any, now: float) -> Item:
+def _item_from_plain(
+    kind: int, digest: str, *fields: Any, now: float
+) -> Item | None:
+    """Returns an item; None if it is of a kind of a later build."""
+    if kind not in (LOSS, COMPLETION, REFUSAL):
+        return None
     if not isinstance(digest, str) or len(digest) != DIGEST_LENGTH:
         raise ValueError(f"digest {digest!r} of a request")
     if kind == LOSS:
-        target_id, started_ms, began_age_s, ended_age_s = fields
+        target_id, started_ms, began_age_s, ended_age_s, *_ = fields
         began, ended = (_time(x, now) for x in (began_age_s, ended_age_s))
         start = TargetStart(str(target_id), int(started_ms))
         return Loss(digest, Run(start, min(began, ended), ended))
     if kind == COMPLETION:
-        (age_s,) = fields
+        age_s, *_ = fields
         return Completion(digest, _time(age_s, now))
-    if kind == REFUSAL:
-        losses, age_s, asked_age_s = fields
-        asked_at = _time(asked_age_s, now)
-        since = _time(age_s, now, max_age_s=float("inf"))
-        return Refused(digest, Refusal(since, asked_at, int(losses)))
-    raise ValueError(f"kind {kind!r} of news")
+    losses, age_s, asked_age_s, *_ = fields
+    asked_at = _time(asked_age_s, now)
+    since = _time(age_s, now, max_age_s=float("inf"))
+    return Refused(digest, Refusal(since, asked_at, int(losses)))
 
 
 def _age_s(time: float, now: float) -> float:
--- a/packages/gateway/sardinewheel_gateway/policy/hosts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/hosts.py
@@ -36,6 +36,11 @@
     FOLLOWING = 1
     AWAY = 2
 
+    @classmethod
+    def _missing_(cls, value: object) -> "StoreAccess":
+        """Returns what a relation of a later build counts as here."""
+        return cls.IDLE
+
 
 class HostState(NamedTuple):
     """State that a host announces in its heartbeats.
--- a/packages/gateway/sardinewheel_gateway/policy/membership.py
+++ b/packages/gateway/sardinewheel_gateway/policy/membership.py
@@ -32,6 +32,7 @@
     StoreAccess,
 )
 from sardinewheel_gateway.policy.updates import Positions
+from sardinewheel_gateway.policy.wire import from_fields
 
 HEARTBEAT = 5
 STATES = 6
@@ -143,14 +144,14 @@
                 ``TypeError`` and ``LookupError``.
         """
         match message:
-            case [kind, address, operators, targets, digest] if (
+            case [kind, address, operators, targets, digest, *_] if (
                 kind == HEARTBEAT
             ):
                 positions = Positions(operators, targets)
                 return self._handle_digest(address, positions, digest, now)
-            case [kind, states] if kind == STATES:
+            case [kind, states, *_] if kind == STATES:
                 return self._handle_states(states, now)
-            case [kind, address, host_ids] if kind == STATE_REQUEST:
+            case [kind, address, host_ids, *_] if kind == STATE_REQUEST:
                 return self._send_states(address, host_ids, now)
         raise ValueError(f"unknown message of kind {message[0]!r}")
 
@@ -239,7 +240,7 @@
         """Records full states; replies to new hosts with a digest of all."""
         discovered = []
         introduced = []
-        for age_s, plain in states:
+        for age_s, plain, *_ in states:
             state = _decode_state(plain)
             if not self.host_table.record_heartbeat(
                 state, now=now, age_s=age_s
@@ -317,9 +318,9 @@
 
 
 def _decode_state(plain: list) -> HostState:
-    state = HostState(*plain)
+    state = from_fields(HostState, plain)
     return state._replace(
-        positions=Positions(*state.positions),
+        positions=from_fields(Positions, state.positions),
         store=StoreAccess(state.store),
     )
 
--- a/packages/gateway/sardinewheel_gateway/policy/updates.py
+++ b/packages/gateway/sardinewheel_gateway/policy/updates.py
@@ -16,6 +16,7 @@
     Share,
 )
 from sardinewheel_gateway.policy.targets import TargetRecord
+from sardinewheel_gateway.policy.wire import from_fields
 
 NO_POSITION = -1
 
@@ -116,8 +117,8 @@
         ValueError: The lists do not encode an update.
     """
     try:
-        operators, targets, objects = plain
-        uses = tuple(ObjectUse(*use) for use in objects)
+        operators, targets, objects, *_ = plain
+        uses = tuple(from_fields(ObjectUse, use) for use in objects)
         return Update(_operators(operators), _targets(targets), uses)
     except (TypeError, AttributeError) as error:
         raise ValueError(f"invalid update: {error}") from error
@@ -174,25 +175,27 @@
 def _operators(plain: list[Any] | None) -> OperatorsUpdate | None:
     if plain is None:
         return None
-    after, configuration, evacuated, version = plain
-    typed = None if configuration is None else _configuration(configuration)
-    return OperatorsUpdate(after, typed, frozenset(evacuated), version)
+    update = from_fields(OperatorsUpdate, plain)
+    if update.configuration is not None:
+        typed = _configuration(update.configuration)
+        update = update._replace(configuration=typed)
+    return update._replace(evacuated=frozenset(update.evacuated))
 
 
 def _configuration(plain: list[Any]) -> Configuration:
     version, routes, services, limits, *more = plain
-    typed = [Service(*service) for service in services]
+    typed = [from_fields(Service, service) for service in services]
     return Configuration(
         version,
         tuple(_route(route) for route in routes),
         {service.name: service for service in typed},
-        Limits(*limits),
+        from_fields(Limits, limits),
         tuple(_account(account) for account in (more[0] if more else ())),
     )
 
 
 def _account(plain: list[Any]) -> Account:
-    account = Account(*plain)
+    account = from_fields(Account, plain)
     return account._replace(
         key_digests=tuple(account.key_digests),
         home_regions=frozenset(account.home_regions),
@@ -200,9 +203,9 @@
 
 
 def _route(plain: list[Any]) -> Route:
-    route = Route(*plain)
+    route = from_fields(Route, plain)
     return route._replace(
-        shares=tuple(Share(*share) for share in route.shares),
+        shares=tuple(from_fields(Share, share) for share in route.shares),
         home_regions=frozenset(route.home_regions),
     )
 
@@ -210,13 +213,24 @@
 def _targets(plain: list[Any] | None) -> TargetsUpdate | None:
     if plain is None:
         return None
-    before, after, changes, away_s = plain
-    typed = [
-        RecordChange(
-            target_id,
-            position,
-            None if record is None else TargetRecord(*record),
-        )
-        for target_id, position, record in changes
-    ]
-    return TargetsUpdate(before, after, tuple(typed), away_s)
+    update = from_fields(TargetsUpdate, plain)
+    changes = tuple(_change(change) for change in update.changes)
+    return update._replace(changes=changes)
+
+
+def _change(plain: list[Any]) -> RecordChange:
+    change = from_fields(RecordChange, plain)
+    if change.record is None:
+        return change
+    return change._replace(record=_record(change.record))
+
+
+def _record(plain: Any) -> TargetRecord | None:
+    """Returns a record; None if it is invalid, as with one of the store.
+
+    The other changes of the update would otherwise be lost with it.
+    """
+    try:
+        return from_fields(TargetRecord, plain)
+    except ValueError:
+        return None
