Execute requests near to where they arrive, as far as there is room

Cause: an object was ranked over all targets of its service, so most requests crossed regions wherever they arrived, although the targets nearby had room and could keep the object as well.

Ruled out: choosing by the load that a host sees (old reports, and a loop that can swing); ranking near targets first without regard to room (a region with few targets is overrun); a copy of each object everywhere (more objects than targets keep).

Change: policy/locality.py decides the shares of a failure domain's requests that stay in the domain, in the region, are placed among all targets, or go to regions with free room, from slots, demand (equal until heard otherwise) and objects per target. Objects are divided by their hash, so that all hosts agree and few objects move; shares move by 0.04 a second. Each group of failure domains has its own object map, and home regions bind first.

--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -17,8 +17,13 @@
     Limit,
 )
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission
+from sardinewheel_gateway.policy.grouped_objects import (
+    GroupedObjects,
+    GroupKey,
+)
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
+from sardinewheel_gateway.policy.locality import EVERYWHERE, Group, Locality
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.targets import Target, TargetTable
@@ -111,20 +116,24 @@
 
     Attributes:
         source: All usable targets of the service, before the filter on home
-            regions.
+            regions and failure domains.
         ids: Target ids, sorted.
         by_id: Targets by id.
+        key: What they were selected by.
     """
 
     source: list[Target]
     ids: tuple[str, ...]
     by_id: dict[str, Target]
+    key: GroupKey
 
     @classmethod
-    def of(cls, source: list[Target], targets: list[Target]) -> "UsableTargets":
+    def of(
+        cls, source: list[Target], targets: list[Target], key: GroupKey
+    ) -> "UsableTargets":
         """Returns an instance for a sorted subset of ``source``."""
         by_id = {target.record.target_id: target for target in targets}
-        return cls(source, tuple(by_id), by_id)
+        return cls(source, tuple(by_id), by_id, key)
 
 
 class Placer:
@@ -137,10 +146,13 @@
         limit_admission: Admission control for targets that name a limit.
         cold_admission: Admission control for cold targets.
         objects: Objects by service.
+        grouped_objects: Objects by service and group of failure domains.
+        locality: Which failure domains execute a request; None for all.
         cold_rates: Requests per second that a cold target can handle, by
             service.
         regions: Region of each failure domain.
-        usable: Cache of usable targets by service and home regions.
+        usable: Cache of usable targets by service, home regions and failure
+            domains.
     """
 
     def __init__(
@@ -153,6 +165,7 @@
         cold_admission: ColdAdmission,
         regions: dict[str, str],
         rng: random.Random,
+        locality: Locality | None = None,
     ):
         self.target_table = target_table
         self.loads = loads
@@ -162,8 +175,14 @@
         self.regions = regions
         self.rng = rng
         self.objects = ObjectTable()
+        self.grouped_objects = GroupedObjects()
+        self.locality = locality
         self.cold_rates: dict[str, float] = {}
-        self.usable: dict[tuple[str, frozenset[str]], UsableTargets] = {}
+        self.usable: dict[GroupKey, UsableTargets] = {}
+
+    def rebalance(self) -> None:
+        """Rebalances the objects of all services that changed."""
+        self.grouped_objects.rebalance(self.objects)
 
     def place(self, request: PlacementRequest, now: float) -> Placed | Refused:
         """Returns the target for a request, or a refusal."""
@@ -172,7 +191,8 @@
             return Refused(
                 "no-target", self._retry_after_s(NO_TARGET_RETRY_AFTER_S)
             )
-        candidates = self._candidates(request, usable, now)
+        candidates = self._nearby_candidates(request, now)
+        candidates = candidates or self._candidates(request, usable, now)
         if not candidates:
             return self._refuse_without_candidates(request, usable, now)
         first = candidates[0]
@@ -216,30 +236,52 @@
         )
         return Refused("targets-limited", wait_s)
 
-    def _usable(self, request: PlacementRequest) -> UsableTargets:
+    def _usable(
+        self, request: PlacementRequest, group: Group = EVERYWHERE
+    ) -> UsableTargets:
         source = self.target_table.usable(request.service)
         homes = request.home_regions
-        known = self.usable.get((request.service, homes))
+        key = GroupKey(request.service, homes, group)
+        known = self.usable.get(key)
         if known is not None and known.source is source:
             return known
-        targets = source
-        if homes:
-            targets = [
-                target
-                for target in source
-                if self.regions.get(target.record.domain) in homes
-            ]
+        targets = [
+            target
+            for target in source
+            if (not group or target.record.domain in group)
+            and (not homes or self.regions.get(target.record.domain) in homes)
+        ]
         if len(self.usable) >= MAX_CACHED_USABLE:
             self.usable.clear()
-        usable = UsableTargets.of(source, targets)
-        self.usable[request.service, homes] = usable
+        usable = UsableTargets.of(source, targets, key)
+        self.usable[key] = usable
         return usable
 
+    def _nearby_candidates(
+        self, request: PlacementRequest, now: float
+    ) -> list[Placed]:
+        """Returns the available targets where the request is to be executed.
+
+        Returns:
+            Empty if that may be anywhere, or if no target there is available.
+        """
+        if self.locality is None:
+            return []
+        key = request.object_key or f"{self.rng.random()}"
+        group = self.locality.group(request.service, key)
+        if not group:
+            return []
+        usable = self._usable(request, group)
+        if not usable.ids:
+            return []
+        preferred = self._preferred(request, usable)
+        return self._available(preferred, usable.by_id, request, now)
+
     def _candidates(
         self, request: PlacementRequest, usable: UsableTargets, now: float
     ) -> list[Placed]:
         """Returns up to two available targets in order of preference."""
-        preferred = self._preferred(request, usable.ids)
+        preferred = self._preferred(request, usable)
         found = self._available(preferred, usable.by_id, request, now)
         if found:
             return found
@@ -275,15 +317,14 @@
         return self.objects.of(request.service).order(request.object_key)
 
     def _preferred(
-        self, request: PlacementRequest, ids: tuple[str, ...]
+        self, request: PlacementRequest, usable: UsableTargets
     ) -> list[str]:
         if not request.object_key:
-            return self.rng.sample(ids, min(2, len(ids)))
+            return self.rng.sample(usable.ids, min(2, len(usable.ids)))
         use = ObjectUse(request.service, request.route.name, request.object_key)
         self.objects.record_use(use)
-        chosen = self.objects.of(request.service).preference(
-            request.object_key, ids
-        )
+        objects = self.grouped_objects.of(usable.key, self.objects)
+        chosen = objects.preference(request.object_key, usable.ids)
         return [x for x in chosen or () if x is not None]
 
     def _available(
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -14,6 +14,7 @@
 from sardinewheel_gateway.policy.crash_suspects import CrashSuspects
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
+from sardinewheel_gateway.policy.locality import Locality, room_of
 from sardinewheel_gateway.policy.placement import Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
@@ -67,6 +68,8 @@
         cold_admission: Admission control for cold targets.
         crash_suspects: Requests that were lost with their targets.
         budgets: Retry budgets by service.
+        locality: Where requests are executed; None if that does not depend
+            on where they arrive.
         placer: Assigns requests to targets.
         lowest_priorities: Lowest priority (highest number) of the routes of
             each service.
@@ -82,6 +85,7 @@
         bounds: Bounds,
         regions: dict[str, str],
         rng: random.Random,
+        prefers_near_targets: bool = False,
     ):
         self.bounds = bounds
         self.rng = rng
@@ -98,6 +102,9 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.lowest_priorities: dict[str, int] = {}
         self.hosts = 1
+        self.locality: Locality | None = None
+        if prefers_near_targets:
+            self.locality = Locality(domain, regions)
         self.placer = Placer(
             target_table=self.target_table,
             loads=self.loads,
@@ -106,6 +113,7 @@
             cold_admission=self.cold_admission,
             regions=regions,
             rng=rng,
+            locality=self.locality,
         )
 
     @property
@@ -241,6 +249,22 @@
         for budget in self.budgets.values():
             budget.hosts = self.hosts
 
+    def update_locality(self, *, now: float) -> None:
+        """Moves each service's shares of near requests toward what fits."""
+        if self.locality is None or not self.target_table.has_loaded:
+            return
+        for service in self.lowest_priorities:
+            targets = self.target_table.usable(service)
+            if not targets or not self.locality.is_due(service, now):
+                continue
+            self.locality.update(
+                service,
+                room_of(targets),
+                objects=len(self.placer.objects.of(service).routes),
+                demand={},
+                now=now,
+            )
+
     def forget_target(self, target_id: str) -> None:
         """Drops the state of a target that has left or restarted."""
         self.loads.forget(target_id)
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -76,6 +76,8 @@
         log_level: Minimum level that is logged.
         advertised_ip: IP address at which other hosts reach ``gossip`` and
             ``control`` through a proxy; empty if there is no proxy.
+        prefers_near_targets: Whether requests are executed near to where they
+            arrive, as far as targets there have room and keep their objects.
     """
 
     name: str
@@ -96,6 +98,7 @@
     capacity: int = 0
     log_level: str = "info"
     advertised_ip: str = ""
+    prefers_near_targets: bool = False
 
 
 class CachedUpdate(NamedTuple):
@@ -151,6 +154,7 @@
             bounds=settings.bounds,
             regions=settings.regions,
             rng=self.rng,
+            prefers_near_targets=settings.prefers_near_targets,
         )
         self.host_table = HostTable(_own_state(settings))
         self.gossip = Gossip(
@@ -284,7 +288,8 @@
             self.routing_state.limit_admission.set_hosts(
                 self.host_table.ready_by_domain(now=now), now=now
             )
-            self.routing_state.placer.objects.rebalance()
+            self.routing_state.placer.rebalance()
+            self.routing_state.update_locality(now=now)
             self.gossip.send_objects(
                 self.routing_state.placer.objects.take_unsent()
             )
--- /dev/null
+++ b/tests/gateway/policy/test_locality.py
@@ -0,0 +1,132 @@
+"""Requests stay near as far as there is room, and move slowly."""
+
+import pytest
+from sardinewheel_gateway.policy.locality import (
+    MAX_STEP_PER_S,
+    OBJECTS_PER_TARGET,
+    Locality,
+    Room,
+    Shares,
+)
+
+REGIONS = {
+    "west-a": "west",
+    "west-b": "west",
+    "mid-a": "mid",
+    "mid-b": "mid",
+    "north-a": "north",
+    "north-b": "north",
+}
+KEYS = [f"object-{n}" for n in range(1000)]
+UNEVEN = (20, 24, 5)
+
+
+def room(west=20, mid=20, north=20, slots=3):
+    sizes = {"west": west, "mid": mid, "north": north}
+    return {
+        domain: Room(sizes[region], sizes[region] * slots)
+        for domain, region in REGIONS.items()
+    }
+
+
+def locality(domain="north-a", *sizes, objects=300, demand=None):
+    made = Locality(domain, REGIONS)
+    made.update(
+        "s", room(*sizes), objects=objects, demand=demand or {}, now=0.0
+    )
+    return made
+
+
+def regions_of(made, keys=KEYS):
+    """Returns the region in which each object's requests are executed."""
+    groups = {key: made.group("s", key) for key in keys}
+    return {
+        key: REGIONS[group[0]] if group else "all"
+        for key, group in groups.items()
+    }
+
+
+def share_in(made, region):
+    return list(regions_of(made).values()).count(region) / len(KEYS)
+
+
+def moved(before, after):
+    return sum(before[key] != after[key] for key in before) / len(before)
+
+
+def test_domain_with_room_executes_all_of_its_requests():
+    assert locality("west-a", *UNEVEN).shares["s"]["west-a"].domain == 1.0
+
+
+def test_region_short_of_room_spills_in_proportion_to_free_room():
+    made = locality("north-a", *UNEVEN)
+    assert share_in(made, "north") == pytest.approx(0.31, abs=0.04)
+    assert share_in(made, "west") == pytest.approx(0.22, abs=0.04)
+    assert share_in(made, "mid") == pytest.approx(0.47, abs=0.04)
+
+
+def test_spilled_object_goes_where_callers_of_that_region_send_it():
+    north = locality("north-a", *UNEVEN)
+    spilled = {key: north.group("s", key) for key in KEYS}
+    abroad = [key for key, x in spilled.items() if x == ("mid-b",)]
+    there = locality("mid-b", *UNEVEN)
+    assert abroad
+    assert {there.group("s", key) for key in abroad} == {("mid-b",)}
+
+
+def test_all_hosts_of_a_domain_choose_alike():
+    first, second = locality("north-b", *UNEVEN), locality("north-b", *UNEVEN)
+    assert [first.group("s", key) for key in KEYS] == [
+        second.group("s", key) for key in KEYS
+    ]
+
+
+def test_objects_that_targets_nearby_cannot_keep_are_placed_everywhere():
+    made = locality("west-a", 2, 2, 2, objects=13 * OBJECTS_PER_TARGET)
+    assert made.shares["s"]["west-a"] == Shares(0.0, 0.0, 1.0, {})
+
+
+def test_objects_that_only_the_region_can_keep_are_placed_in_it():
+    made = locality("west-a", 4, 4, 4, objects=8 * OBJECTS_PER_TARGET)
+    assert made.shares["s"]["west-a"] == Shares(0.0, 1.0, 0.0, {})
+
+
+def test_region_without_targets_is_left_at_once():
+    made = locality("north-a", 20, 20, 0)
+    assert share_in(made, "north") == 0.0
+
+
+def test_shares_move_by_a_bounded_step_and_arrive():
+    made = locality("north-a")
+    before = regions_of(made)
+    now = 0.0
+    for _ in range(60):
+        now += 0.5
+        made.update("s", room(*UNEVEN), objects=300, demand={}, now=now)
+        after = regions_of(made)
+        assert moved(before, after) <= 0.5 * MAX_STEP_PER_S + 0.02
+        before = after
+    assert share_in(made, "north") == pytest.approx(0.31, abs=0.05)
+
+
+def test_long_pause_does_not_allow_a_larger_step():
+    made = locality("north-a")
+    made.update("s", room(*UNEVEN), objects=300, demand={}, now=60.0)
+    assert made.shares["s"]["north-a"].domain >= 1.0 - 2 * MAX_STEP_PER_S - 1e-9
+
+
+def test_small_changes_of_room_move_nothing():
+    made = locality("north-a", *UNEVEN)
+    before = made.shares["s"]
+    made.update("s", room(20, 24, 5, 3), objects=301, demand={}, now=1.0)
+    assert made.shares["s"] == before
+
+
+def test_measured_demand_replaces_the_equal_one():
+    demand = dict.fromkeys(REGIONS, 10.0) | {"west-a": 30.0, "west-b": 30.0}
+    made = locality("west-a", 20, 20, 20, demand=demand)
+    assert made.shares["s"]["west-a"].domain == pytest.approx(5 / 9)
+
+
+def test_host_of_an_unknown_domain_uses_all_targets():
+    assert locality("elsewhere").group("s", "k") == ()
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -7,6 +7,7 @@
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
+from sardinewheel_gateway.policy.locality import Locality, room_of
 from sardinewheel_gateway.policy.placement import (
     Placed,
     PlacementRequest,
@@ -179,3 +180,34 @@
     report_load(placer, order[2], 20)
     placed = placer.place(placement_request(tried=order[:2]), 1.0)
     assert placed.target.record.target_id == order[3]
+
+
+def make_local_placer(count=6):
+    """Returns a placer in ``north-a`` that executes its requests there."""
+    placer = make_placer(count)
+    for n in range(count):
+        placer.target_table.put(record(f"s{n}", domain="south-a"), now=0.0)
+    placer.locality = Locality("north-a", REGIONS)
+    room = room_of(placer.target_table.usable("orders"))
+    placer.locality.update("orders", room, objects=0, demand={}, now=0.0)
+    return placer
+
+
+def test_request_stays_in_its_failure_domain():
+    placer = make_local_placer()
+    placed = [placer.place(placement_request(f"k{n}"), 1.0) for n in range(50)]
+    assert {x.target.record.domain for x in placed} == {"north-a"}
+
+
+def test_request_leaves_its_failure_domain_if_no_target_there_is_available():
+    placer = make_local_placer(count=1)
+    placer.loads.of("t0").record_failure(now=1.0)
+    placed = placer.place(placement_request(), 1.1)
+    assert placed.target.record.domain == "south-a"
+
+
+def test_home_regions_bind_before_nearness():
+    placer = make_local_placer()
+    request = placement_request(home_regions=frozenset({"south"}))
+    placed = placer.place(request, 1.0)
+    assert placed.target.record.domain == "south-a"
