Let the shares of near requests follow the demand of each domain

Cause: demand was taken as equal among failure domains, while callers rise and fall at different times; and a service whose objects weren't known yet was placed as if targets nearby could keep all of them.

Ruled out: a control loop on queues or refusals (with late and lost reports it swings, see the test with the naive rule); a field in heartbeats (an older host reads them by position and drops a longer one).

Change: hosts of a domain tell each other their rates, and domains their estimates, in a new datagram of kind 20, which older hosts ignore. The shares are computed from demand, which doesn't depend on them. 256 objects are assumed until callers have named some for 10 s.

--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -1,8 +1,8 @@
 """UDP datagrams between hosts.
 
 They carry membership, small updates, object uses, targets' announcements,
-permits for requests to targets that name a limit, and news of requests that
-crash targets.
+permits for requests to targets that name a limit, news of requests that crash
+targets, and the demand of callers.
 """
 
 import random
@@ -42,6 +42,7 @@
 PERMIT = 10
 CRASH_NEWS = 11
 CRASH_REQUEST = 12
+DEMAND = 20
 MAX_OBJECTS_PER_DATAGRAM = 30
 
 
@@ -88,6 +89,22 @@
     is_complete: bool
 
 
+class Demand(NamedTuple):
+    """What a host tells of the requests that callers send.
+
+    Attributes:
+        name: Name of the host.
+        domain: Its failure domain.
+        rates: Requests per second that it receives, by service.
+        reports: Estimates of domains, see ``policy.demand.DemandReport``.
+    """
+
+    name: str
+    domain: str
+    rates: dict[str, float]
+    reports: list[list]
+
+
 class Gossip:
     """Sends and receives datagrams.
 
@@ -103,6 +120,7 @@
         on_crash_news: Called with another host's news of requests that crash
             targets.
         on_crash_request: Called with the address of a host that requests them.
+        on_demand: Called with what another host tells of callers' requests.
     """
 
     def __init__(
@@ -120,6 +138,7 @@
         self.on_permit: Callable[[Permit], None] = _do_nothing
         self.on_crash_news: Callable[[CrashNews], None] = _do_nothing
         self.on_crash_request: Callable[[str], None] = _do_nothing
+        self.on_demand: Callable[[Demand], None] = _do_nothing
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((host, int(port)))
@@ -225,6 +244,12 @@
         data = cbor2.dumps([CRASH_REQUEST, self.host_table.own.gossip])
         self._send(host.gossip, data)
 
+    def send_demand(self, message: Demand, recipients: list[HostState]) -> None:
+        """Tells the given hosts what callers send."""
+        data = cbor2.dumps([DEMAND, *message])
+        for host in recipients:
+            self._send(host.gossip, data)
+
     def _same_region_addresses(self) -> set[str]:
         return {host.gossip for host in self.host_table.same_region_hosts()}
 
@@ -278,6 +303,9 @@
         elif kind == CRASH_REQUEST:
             _, address = message
             self.on_crash_request(address)
+        elif kind == DEMAND:
+            _, *fields = message
+            self.on_demand(Demand(*fields))
 
     def _log_discovered_hosts(self, states: list[HostState]) -> None:
         self.log.info(
--- a/packages/gateway/sardinewheel_gateway/policy/locality.py
+++ b/packages/gateway/sardinewheel_gateway/policy/locality.py
@@ -18,12 +18,16 @@
 
 # Objects that a target is expected to keep.
 OBJECTS_PER_TARGET = 20
+# Objects that a service is taken to have until callers have named most of them.
+ASSUMED_OBJECTS = 256
+DISCOVERY_S = 10.0
 # Share of a domain's requests that may change its place within a second.
 MAX_STEP_PER_S = 0.04
 # Changes smaller than this share are left out.
 DEAD_BAND = 0.01
 UPDATE_INTERVAL_S = 0.5
-MAX_INTERVAL_S = 2.0
+# A host that was held up makes up for no more than this.
+MAX_INTERVAL_S = 1.0
 
 # Failure domains that execute a request, sorted; empty for all of them.
 Group = tuple[str, ...]
@@ -213,6 +217,8 @@
         room: Latest room by service and failure domain.
         shares: Shares in force, by service and failure domain.
         updated_at: Time of the last update, by service.
+        discovery_until: Time until which ``ASSUMED_OBJECTS`` applies, by
+            service; infinite until a first object is known.
     """
 
     def __init__(self, domain: str, regions: dict[str, str]):
@@ -221,6 +227,7 @@
         self.room: dict[str, dict[str, Room]] = {}
         self.shares: dict[str, dict[str, Shares]] = {}
         self.updated_at: dict[str, float] = {}
+        self.discovery_until: dict[str, float] = {}
 
     def is_due(self, service: str, now: float) -> bool:
         """Returns whether the shares of a service are to be updated."""
@@ -246,6 +253,7 @@
             now: Seconds of the monotonic clock.
         """
         self.room[service] = room
+        objects = self._expected_objects(service, objects, now)
         supply = Supply(room, demand, objects, self.regions)
         goals = {domain: supply.goal(domain) for domain in self.regions}
         before = self.shares.get(service)
@@ -260,6 +268,18 @@
             for domain, goal in goals.items()
         }
 
+    def _expected_objects(self, service: str, known: int, now: float) -> int:
+        """Returns the number of objects, or an assumption at first.
+
+        A host that starts among others receives the objects that they know.
+        """
+        if service not in self.discovery_until:
+            self.discovery_until[service] = -math.inf if known else math.inf
+        until = self.discovery_until[service]
+        if known and until == math.inf:
+            until = self.discovery_until[service] = now + DISCOVERY_S
+        return known if now >= until else max(known, ASSUMED_OBJECTS)
+
     def group(self, service: str, key: str) -> Group:
         """Returns the failure domains that execute requests for an object.
 
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -12,6 +12,7 @@
 )
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.crash_suspects import CrashSuspects
+from sardinewheel_gateway.policy.demand import DemandTable
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
 from sardinewheel_gateway.policy.locality import Locality, room_of
@@ -70,6 +71,7 @@
         budgets: Retry budgets by service.
         locality: Where requests are executed; None if that does not depend
             on where they arrive.
+        demand: Requests of callers by failure domain.
         placer: Assigns requests to targets.
         lowest_priorities: Lowest priority (highest number) of the routes of
             each service.
@@ -102,6 +104,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.lowest_priorities: dict[str, int] = {}
         self.hosts = 1
+        self.demand = DemandTable(domain)
         self.locality: Locality | None = None
         if prefers_near_targets:
             self.locality = Locality(domain, regions)
@@ -160,10 +163,12 @@
     def count_request(self, service: str, now: float) -> None:
         """Counts a request for the retry budget of a service."""
         self._budget(service).count_request(now)
+        self.demand.count(service)
 
     def withdraw_request(self, service: str) -> None:
         """Takes back the last count, as another host counts the request."""
         self._budget(service).withdraw_request()
+        self.demand.count(service, -1)
 
     def try_acquire_retry(self, service: str, now: float) -> bool:
         """Returns whether a retry may be sent, and counts it if so."""
@@ -261,7 +266,7 @@
                 service,
                 room_of(targets),
                 objects=len(self.placer.objects.of(service).routes),
-                demand={},
+                demand=self.demand.of(service, now=now),
                 now=now,
             )
 
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -14,6 +14,7 @@
 from sardinewheel_gateway import clock, crash_operations
 from sardinewheel_gateway.announcement_exchange import AnnouncementExchange
 from sardinewheel_gateway.crash_exchange import CrashExchange
+from sardinewheel_gateway.demand_exchange import DemandExchange
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.forwarder import Forwarder
 from sardinewheel_gateway.gossip import Gossip
@@ -128,6 +129,7 @@
         source: Source of configuration and target updates.
         routing_state: State that decisions are based on.
         announcement_exchange: Shares what targets announce.
+        demand_exchange: Shares what callers send to each domain.
         crash_exchange: Shares which requests crash targets.
         sync: Applies and forwards updates of operators and targets.
         is_shutting_down: Whether the process is shutting down.
@@ -178,6 +180,9 @@
         self.forwarder.sender.on_announcement = (
             self.announcement_exchange.record
         )
+        self.demand_exchange = DemandExchange(
+            self.routing_state.demand, self.gossip, rng=self.rng
+        )
         self.crash_exchange = CrashExchange(
             self.routing_state.crash_suspects,
             self.gossip,
@@ -233,6 +238,8 @@
         self.gossip.start()
         keep_running("tick", self._tick_forever, self.log)
         keep_running("announce", self.announcement_exchange.run, self.log)
+        if self.settings.prefers_near_targets:
+            keep_running("demand", self.demand_exchange.run, self.log)
         keep_running("crashes", self.crash_exchange.run, self.log)
         keep_running("relay", self.sync.relay.run, self.log)
         path_monitor = self.forwarder.path_monitor
--- a/tests/gateway/policy/test_locality.py
+++ b/tests/gateway/policy/test_locality.py
@@ -1,7 +1,12 @@
 """Requests stay near as far as there is room, and move slowly."""
 
+import itertools
+import math
+import random
+
 import pytest
 from sardinewheel_gateway.policy.locality import (
+    DEAD_BAND,
     MAX_STEP_PER_S,
     OBJECTS_PER_TARGET,
     Locality,
@@ -128,5 +133,101 @@
     assert made.shares["s"]["west-a"].domain == pytest.approx(5 / 9)
 
 
+def test_many_objects_are_assumed_until_callers_named_them():
+    made = locality("west-a", 2, 2, 2, objects=0)
+    assert made.shares["s"]["west-a"].everywhere == 1.0
+    for second in range(1, 60):
+        made.update("s", room(2, 2, 2), objects=30, demand={}, now=second)
+    assert made.shares["s"]["west-a"].domain == 1.0
+
+
+class Loop:
+    """Two regions with waves of demand; one rule sets the spilled share.
+
+    Reports are ``delay`` steps of half a second old, and a third of them is
+    lost, so that the one before counts on.
+    """
+
+    def __init__(self, delay=4):
+        self.delay = delay
+        self.domains = {"west-a": "west", "mid-a": "mid"}
+        self.locality = Locality("west-a", self.domains)
+        self.rng = random.Random(5)
+        self.spilled = 0.0
+        self.queues = [(0.0, 0.0)] * (self.delay + 1)
+        self.reported_queues = self.queues[0]
+        self.demands = []
+        self.reported = {}
+        self.shares = []
+
+    def run(self, rule, demand, steps=400):
+        for step in range(steps):
+            west, mid = demand(step), 60.0
+            self.demands.append({"west-a": west, "mid-a": mid})
+            self._serve(west, mid)
+            if self.rng.random() > 1 / 3:
+                self.reported = self.demands[-self.delay :][0]
+                self.reported_queues = self.queues[-self.delay]
+            rule(self, step)
+            self.shares.append(self.spilled)
+        return self.shares
+
+    def _serve(self, west, mid):
+        spilled = west * self.spilled
+        before = self.queues[-1]
+        arriving = (west - spilled, mid + spilled)
+        pairs = zip(before, arriving, strict=True)
+        self.queues.append(tuple(max(0.0, q + x - 100) for q, x in pairs))
+
+    def naive(self, step):
+        """Spills all while the queue here is the longer one."""
+        here, there = self.reported_queues
+        self.spilled = 1.0 if here > there else 0.0
+
+    def by_demand(self, step):
+        slots = {domain: Room(20, 100) for domain in self.domains}
+        self.locality.update(
+            "s", slots, objects=50, demand=self.reported, now=step / 2
+        )
+        self.spilled = sum(self.locality.shares["s"]["west-a"].regions.values())
+
+
+def turns(shares):
+    """Returns how often the share changes its direction."""
+    steps = [b - a for a, b in itertools.pairwise(shares) if abs(b - a) > 1e-9]
+    return sum(a * b < 0 for a, b in itertools.pairwise(steps))
+
+
+def test_naive_rule_swings_on_steady_demand_and_ours_comes_to_rest():
+    def steady(_step):
+        return 130.0
+
+    naive = Loop().run(Loop.naive, steady)
+    ours = Loop().run(Loop.by_demand, steady)
+    assert turns(naive) > 10
+    assert max(naive[-50:]) - min(naive[-50:]) == 1.0
+    assert turns(ours) == 0
+    assert ours[-1] == pytest.approx(1 - (190 / 2) / 130, abs=0.02)
+
+
+def test_share_turns_only_as_often_as_demand_does():
+    def wave(step):
+        return 110.0 + 40.0 * math.sin(2 * math.pi * step / 72)
+
+    shares = Loop().run(Loop.by_demand, wave)
+    assert turns(shares) <= 2 * 400 / 72 + 2
+    per_window = zip(shares, shares[4:], strict=False)
+    assert max(abs(b - a) for a, b in per_window) <= 2 * MAX_STEP_PER_S + 1e-9
+
+
+def test_host_without_reports_returns_to_its_own_region():
+    loop = Loop()
+    loop.run(Loop.by_demand, lambda _step: 130.0)
+    loop.reported = {}
+    for step in range(400, 440):
+        loop.by_demand(step)
+    assert loop.spilled <= DEAD_BAND
+
+
 def test_host_of_an_unknown_domain_uses_all_targets():
     assert locality("elsewhere").group("s", "k") == ()
