--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -267,15 +267,22 @@
         """
         if self.locality is None:
             return []
-        key = request.object_key or f"{self.rng.random()}"
-        group = self.locality.group(request.service, key)
+        service, key = request.service, request.object_key
+        if key:
+            group = self.locality.group(service, key)
+        else:
+            text = f"{self.rng.random()}"
+            group = self.locality.keyless_group(service, text)
         if not group:
             return []
         usable = self._usable(request, group)
         if not usable.ids:
             return []
         preferred = self._preferred(request, usable)
-        return self._available(preferred, usable.by_id, request, now)
+        found = self._available(preferred, usable.by_id, request, now)
+        if not request.object_key:
+            found.sort(key=lambda placed: placed.load)
+        return found
 
     def _candidates(
         self, request: PlacementRequest, usable: UsableTargets, now: float
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -15,7 +15,7 @@
 from sardinewheel_gateway.policy.demand import DemandTable
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.locality import Locality, room_of
+from sardinewheel_gateway.policy.locality import Locality
 from sardinewheel_gateway.policy.placement import Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
@@ -24,6 +24,7 @@
     RouteTable,
     SplitChooser,
 )
+from sardinewheel_gateway.policy.shares import room_of
 from sardinewheel_gateway.policy.targets import Target, TargetTable
 
 # Part of a pause by which hosts extend it at random, so that they do not return
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -7,13 +7,14 @@
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.locality import Locality, room_of
+from sardinewheel_gateway.policy.locality import Locality
 from sardinewheel_gateway.policy.placement import (
     Placed,
     PlacementRequest,
     Placer,
     Refused,
 )
+from sardinewheel_gateway.policy.shares import room_of
 from sardinewheel_gateway.policy.targets import TargetTable
 
 from tests.gateway.policy.test_routes import route
@@ -211,3 +212,10 @@
     request = placement_request(home_regions=frozenset({"south"}))
     placed = placer.place(request, 1.0)
     assert placed.target.record.domain == "south-a"
+
+
+def test_nearby_request_without_object_goes_to_the_less_loaded_target():
+    placer = make_local_placer(count=2)
+    report_load(placer, "t0", 2)
+    placed = [placer.place(placement_request(""), 1.0) for _ in range(20)]
+    assert {x.target.record.target_id for x in placed} == {"t1"}
