Keep objects near only where the fullest target can keep its own

Cause: 20 objects a target were allowed in the mean, while the balance lets one target have 1.5 times the mean, so that full targets forgot objects.

Change: 13 in the mean. The settings test covers the switch.

--- a/packages/gateway/sardinewheel_gateway/policy/shares.py
+++ b/packages/gateway/sardinewheel_gateway/policy/shares.py
@@ -8,10 +8,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.objects import LOAD_BOUND_FACTOR
 from sardinewheel_gateway.policy.targets import Target
 
 # Objects that a target is expected to keep.
-OBJECTS_PER_TARGET = 20
+KEPT_OBJECTS = 20
+# Mean objects per target at which no target has more than it keeps.
+OBJECTS_PER_TARGET = int(KEPT_OBJECTS / LOAD_BOUND_FACTOR)
 # Part by which a region may be busier than the mean before requests leave it,
 # so that small differences of demand move nothing.
 ROOM_MARGIN = 0.1
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,6 +43,13 @@
     assert parsed.gateway.grace_s == 6.0
 
 
+@pytest.mark.parametrize(("mbps", "expected"), [(100, True), (1000, False)])
+def test_near_targets_are_preferred_on_narrow_links(mbps, expected):
+    limits = {**DOCUMENT["Limits"], "LinkMbps": mbps}
+    parsed = settings.parse(DOCUMENT | {"Limits": limits})
+    assert parsed.gateway.prefers_near_targets is expected
+
+
 def test_unknown_fields_are_ignored():
     assert (
         settings.parse(DOCUMENT | {"Later": {"x": 1}}).gateway.name == "edge-1"
