Read the window of account limits from the settings

The bound that all hosts keep together (window, excess, slack) was a default of the code; it now comes from the settings' bounds like those of retries.

--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.account_parts import WindowBound
 from sardinewheel_gateway.policy.accounts import Account, AccountTable
 from sardinewheel_gateway.policy.announcements import (
     Announcement,
@@ -31,10 +32,17 @@
 
 
 class Bounds(NamedTuple):
-    """Bounds that apply to all hosts together."""
+    """Bounds that apply to all hosts together.
+
+    Attributes:
+        retries: Retries of each service.
+        cold: Requests to cold targets.
+        accounts: Requests of limited client accounts.
+    """
 
     retries: RetryBound
     cold: ColdBound
+    accounts: WindowBound = WindowBound()
 
 
 class TargetResponse(NamedTuple):
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -165,6 +165,7 @@
             metrics=self.metrics,
             log=self.log,
             rng=self.rng,
+            bound=settings.bounds.accounts,
         )
         self.forwarder = Forwarder(
             routing_state=self.routing_state,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,6 +34,13 @@
     assert parsed.gateway.seeds == ("10.2.0.28:7660",)
     assert parsed.gateway.store_silence_timeout_s == 4.0
     assert parsed.gateway.bounds.retries == (0.2, 60.0, 10.0)
+    assert parsed.gateway.bounds.accounts == (5.0, 0.1, 20.0)
+
+
+def test_the_window_of_account_limits_is_parsed():
+    bounds = ["QuotaWindow=2s", "QuotaExcess=0.2", "QuotaSlack=7"]
+    parsed = settings.parse(DOCUMENT | {"Bounds": bounds})
+    assert parsed.gateway.bounds.accounts == (2.0, 0.2, 7.0)
 
 
 @pytest.mark.parametrize("field", ["Bounds", "Zones", "Seeds", "Limits"])
