--- a/packages/gateway/sardinewheel_gateway/policy/account_parts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/account_parts.py
@@ -1,11 +1,10 @@
 """Hands out the part of each account's rate that a failure domain has.
 
 All hosts compute the parts alike from the configuration, and the parts add up
-to the rate and a little more, for tokens that expire unused. A holder hands out
-tokens, each for one request, which expire soon. In any window of ``W`` seconds,
-requests of an account are therefore at most those of that rate for ``W`` and
-the life of a token, and one burst of each part. Rate, life and bursts are
-chosen so that this stays within what the window allows.
+to the rate. A holder hands out tokens, each for one request, which expire soon.
+In any window of ``W`` seconds, requests of an account are therefore at most
+those of its rate for ``W`` and the life of a token, and one burst of each part.
+Life and bursts are chosen so that this stays within what the window allows.
 """
 
 import math
@@ -21,9 +20,7 @@
 # Part of the room beyond ``MIN_BURST_REQUESTS`` that the life of tokens uses;
 # bursts use the rest.
 LIFE_FRACTION = 0.6
-MIN_BURST_REQUESTS = 6.0
-# Part of the tolerance of the window that replaces tokens which expire unused.
-REPLACED_FRACTION = 0.25
+MIN_BURST_REQUESTS = 16.0
 MAX_LIFE_S = 1.0
 # Requests of the room that stay free for a part that two hosts hold for a
 # moment.
@@ -85,17 +82,13 @@
             >>> account = Account("cafe", rate_per_s=10.0)
             >>> plan = LimitPlan.of(account, ("a", "b"), WindowBound())
             >>> plan.part.rate_per_s, round(plan.life_s, 2)
-            (5.625, 0.47)
+            (5.0, 0.3)
         """
-        tolerance = (
-            bound.excess * account.rate_per_s * bound.window_s + bound.slack
-        )
-        replaced = REPLACED_FRACTION * tolerance
-        rate_per_s = account.rate_per_s + replaced / bound.window_s
+        rate_per_s = account.rate_per_s
         room = (
-            tolerance
-            - replaced
+            bound.excess * rate_per_s * bound.window_s
             + (1.0 + bound.excess) * account.burst
+            + bound.slack
             - RESERVED_REQUESTS
         )
         for_life = LIFE_FRACTION * max(0.0, room - MIN_BURST_REQUESTS)
