Divide room only where the configuration lists client accounts

Cause: the decisions on too little room applied to all deployments. What is new is to take effect only where a configuration calls for it. Change: Room.is_dividing, set from the accounts of the configuration; without them bound, estimate of load, retry time and choice are those of before. The test without accounts fails without the switch (the request was refused). The emulator switches it on.

--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -216,7 +216,8 @@
             return self._refuse_without_candidates(request, usable, now)
         best = _best(candidates)
         refused = self._refuse_for_room(request, best, now)
-        if refused is not None and not request.object_key:
+        may_use_any = self.room.is_dividing and not request.object_key
+        if refused is not None and may_use_any:
             free = self._with_free_slot(request, usable, now)
             best, refused = (best, refused) if free is None else (free, None)
         self.room.record_decision(request, now, is_admitted=refused is None)
@@ -394,7 +395,6 @@
         load = self.loads.of(target_id)
         relative = load.estimate(now) / max(1, target.record.slots)
         age_s = min(MAX_LOAD_AGE_S, now - load.reported_at)
-        service_load = self.room.service_load(target.record.service)
         return Placed(
             target,
             relative,
@@ -402,7 +402,9 @@
             age_s,
             limit=self.announcements.limits.get(target_id),
             slowdown=load.slowdown_at(now),
-            expected_load=service_load.expected(relative, age_s=age_s, now=now),
+            expected_load=self.room.expected_load(
+                target.record.service, relative, age_s=age_s, now=now
+            ),
         )
 
     def obstacle(
--- a/packages/gateway/sardinewheel_gateway/policy/room.py
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -4,8 +4,9 @@
 responses come after the latency objective, requests are executed whose callers
 have left, and who comes first or most often gets the room.
 
-Until the work of a route is known, and for callers without account at a service
-of one route, only the usual bound on load applies.
+Without client accounts in the configuration, until the work of a route is
+known, and for callers without account at a service of one route, only the usual
+bound on load applies.
 """
 
 import copy
@@ -35,6 +36,8 @@
 SHORT_SHARE = 0.7
 # Load by which a key that uses more than its share is refused earlier.
 OVER_SHARE_LOAD = 1.0
+# Time of execution by latency objective, where it isn't learnt.
+USUAL_WORK_PART = 0.25
 MIN_DRAIN_PART = 0.5
 MAX_DRAIN_PART = 1.5
 
@@ -61,11 +64,13 @@
         route_shares: Recent demand of the routes of each service.
         service_loads: Mean load of the targets of each service.
         rng: Source of the spread of retry times.
+        is_dividing: Whether more than the usual bound on load applies.
     """
 
     def __init__(self, bound: Bound, rng: random.Random):
         self.bound = bound
         self.rng = rng
+        self.is_dividing = False
         self.work_times = WorkTimes()
         self.account_shares: dict[str, FairShare] = {}
         self.route_shares: dict[str, FairShare] = {}
@@ -74,6 +79,7 @@
     def copy(self, rng: random.Random) -> "Room":
         """Returns a copy whose changes leave this one as it is."""
         copied = Room(self.bound, rng)
+        copied.is_dividing = self.is_dividing
         copied.work_times = copy.deepcopy(self.work_times)
         copied.account_shares = copy.deepcopy(self.account_shares)
         copied.route_shares = copy.deepcopy(self.route_shares)
@@ -84,11 +90,20 @@
         """Returns the mean load of a service's targets."""
         return self.service_loads.setdefault(service, ServiceLoad())
 
+    def expected_load(
+        self, service: str, load: float, *, age_s: float, now: float
+    ) -> float:
+        """Returns the load to expect at a target, from its last report."""
+        if not self.is_dividing:
+            return load
+        mean = self.service_load(service)
+        return mean.expected(load, age_s=age_s, now=now)
+
     def full_load(self, request: "PlacementRequest", now: float) -> float:
         """Returns the load from which a request is refused now."""
         usual = self.bound.urgent if request.is_urgent else self.bound.normal
         work = work_of(request)
-        if not self.work_times.is_known(work):
+        if not self.is_dividing or not self.work_times.is_known(work):
             return usual
         full_load = self._full_load_of(work, now)
         if request.is_urgent or self._is_starved(request, now):
@@ -121,7 +136,10 @@
         A target with a free slot is always tried: an estimate that is too long
         would otherwise never be corrected.
         """
-        if not queue_per_slot(placed.expected_load, placed.target.record.slots):
+        slots = placed.target.record.slots
+        if not self.is_dividing or not queue_per_slot(
+            placed.expected_load, slots
+        ):
             return False
         left_s = request.deadline - now
         return CERTAIN_PART * self.finish_s(request, placed) > left_s
@@ -134,6 +152,9 @@
         """
         work = work_of(request)
         excess = 1.0 + max(0.0, load - self.bound.normal)
+        if not self.is_dividing:
+            wait_s = excess * USUAL_WORK_PART * work.objective_s
+            return wait_s * self.rng.uniform(1.0, MAX_DRAIN_PART)
         drain_s = excess * self.work_times.of_service(work)
         return drain_s * self.rng.uniform(MIN_DRAIN_PART, MAX_DRAIN_PART)
 
@@ -141,7 +162,7 @@
         self, request: "PlacementRequest", now: float, *, is_admitted: bool
     ) -> None:
         """Counts the first decision on a request for the shares."""
-        if request.tried:
+        if request.tried or not self.is_dividing:
             return
         work_s = self.work_times.of_route(work_of(request))
         routes = self.route_shares.setdefault(request.service, FairShare())
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -131,6 +131,7 @@
         self.account_table = account_table
         self.route_table = RouteTable(configuration.routes)
         self.splits.keep(configuration.routes)
+        self.placer.room.is_dividing = bool(configuration.accounts)
         self.placer.objects.keep(route.name for route in configuration.routes)
         self.placer.room.work_times.keep(
             {route.name for route in configuration.routes}
--- a/packages/testing/sardinewheel_testing/emulator/emulation.py
+++ b/packages/testing/sardinewheel_testing/emulator/emulation.py
@@ -111,6 +111,8 @@
             hosts=self.hosts,
         )
         host.routing_state.set_hosts(names)
+        # Its callers have no accounts, which would switch this on.
+        host.routing_state.placer.room.is_dividing = True
         self.dispatch.configure_placer(host.routing_state.placer)
         return host
 
--- a/tests/gateway/policy/test_finish_estimate.py
+++ b/tests/gateway/policy/test_finish_estimate.py
@@ -28,6 +28,7 @@
 @pytest.fixture
 def placer():
     placer = make_placer()
+    placer.room.is_dividing = True
     learn(placer, placement_request(), 0.3)
     return placer
 
@@ -126,3 +127,14 @@
     assert times.of_route(work) == pytest.approx(0.3)
     times.record_lower_bound(work, waited_s=1.2, queue=0.0)
     assert times.of_route(work) > 0.3
+
+
+def test_without_accounts_only_the_usual_bound_on_load_applies(placer):
+    placer.room.is_dividing = False
+    fill(placer, 6)
+    hopeless = placement_request(is_urgent=True)._replace(deadline=NOW + 0.4)
+    assert isinstance(placer.place(hopeless, NOW), Placed)
+    assert not placer.room.route_shares
+    fill(placer, 4 * SLOTS)
+    refused = placer.place(placement_request(), NOW)
+    assert refused.reason == "overload"
