Put the winning change in force before reporting a conflict

Cause: a host that reports a conflict names the winning change but had it in force only after its next poll. An operator who then reads the version there gets the one before the winner, and both changes based on it conflict.

The new test fails without the change (version 1 instead of 2).

Ruled out: a retried transaction whose answer was lost (its change id settles it); a request sent twice by the test's client (it never resends).

--- a/packages/core/sardinewheel_core/proposals.py
+++ b/packages/core/sardinewheel_core/proposals.py
@@ -233,6 +233,8 @@
     if _try_settle(host, now, proposal, rows):
         return
     proposal.winner = _winner(rows, proposal.change.version)
+    if proposal.winner is not None:
+        rollout.apply_changes(host, now, (proposal.winner,), "platform")
     if proposal.event.base_version:
         _end(host, proposal, ProposalState.CONFLICT, winner=proposal.winner)
         host.rollout.next_poll_at = now
--- a/tests/core/test_proposals.py
+++ b/tests/core/test_proposals.py
@@ -9,7 +9,7 @@
 from sardinewheel_core.configuration import change_key, decode_change
 from sardinewheel_core.effects import ChangeStatusRequested, ProposalState
 from sardinewheel_core.intent import Drain, Region, Subject
-from sardinewheel_testing.fake_cluster import FakeCluster
+from sardinewheel_testing.fake_cluster import TICK_S, FakeCluster
 
 AUSTRO = Region("austro", 40, ("cuenca-centro", "cuenca-taller"))
 
@@ -53,6 +53,19 @@
     assert ended.winner.operations == (SetCap("austro", 50),)
 
 
+def test_conflict_is_reported_with_the_winning_change_in_force(cluster):
+    """An operator who reads the version there next finds the winner's."""
+    cluster.is_link_cut = lambda sender, receiver: True
+    cluster.propose("centro-1", "a", SetCap("austro", 50), base_version=1)
+    lost = cluster.propose(
+        "taller-1", "b", SetCap("austro", 60), base_version=1
+    )
+    while lost not in cluster.ended:
+        cluster.run(TICK_S)
+    assert cluster.ended[lost].state is ProposalState.CONFLICT
+    assert versions(cluster)["taller-1"] == 2
+
+
 def test_stale_base_version_returns_the_change_after_it(cluster):
     cluster.propose("centro-1", "a", SetCap("austro", 50))
     cluster.run(3.0)
