Count the answered request once in a target's reported load

The estimate took it for another host's request: one request, a third of three slots, too many after each report. A request that the target rejects is in no report.

The placement tests report what remains at a target, as before.

--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -63,13 +63,17 @@
         self.last_response_at = float("-inf")
         self.paused_until = float("-inf")
 
-    def record_load_report(self, load: ReportedLoad, *, now: float) -> None:
+    def record_load_report(
+        self, load: ReportedLoad, *, now: float, was_executed: bool = True
+    ) -> None:
         """Records a load report.
 
-        The request whose response carries it still counts as in flight.
+        The request whose response carries it still counts as in flight, and
+        in the report if the target executed it.
         """
+        own = self.in_flight - (not was_executed)
         total = load.running + load.waiting
-        self.others_in_flight = max(0.0, total - (self.in_flight - 1))
+        self.others_in_flight = max(0.0, total - own)
         self.slowdown = max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, load.slowdown))
         self.reported_at = now
 
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -193,7 +193,9 @@
             return
         load.record_response(is_error=is_error, now=now)
         if response.load is not None:
-            load.record_load_report(response.load, now=now)
+            load.record_load_report(
+                response.load, now=now, was_executed=response.was_executed
+            )
             # The request that the response is for has left its slot.
             others = response.load.running + response.load.waiting - 1
             mean_load = self.placer.room.service_load(target.record.service)
