--- a/packages/gateway/sardinewheel_gateway/load_exchange.py
+++ b/packages/gateway/sardinewheel_gateway/load_exchange.py
@@ -1,6 +1,4 @@
-"""Tells the other hosts which requests this host sends to which targets."""
-
-import random
+"""Tells the other hosts what this host observes of targets."""
 
 import gevent
 
@@ -9,10 +7,8 @@
 from sardinewheel_gateway.policy.routing_state import RoutingState
 
 ROUND_S = 0.1
-# Other hosts up to which each is told everything in each round, and those that
-# are told in a larger fleet.
-MAX_DIRECT_RECIPIENTS = 12
-RANDOM_RECIPIENTS = 3
+# A larger fleet tells nothing: traffic of each host grows with their number.
+MAX_RECIPIENTS = 12
 
 
 class LoadExchange:
@@ -22,16 +18,12 @@
         loads: Loads of the targets, with the news to tell.
         known_objects: Objects that targets have handled, likewise.
         gossip: Sends datagrams to the other hosts.
-        rng: Source of random recipients.
     """
 
-    def __init__(
-        self, routing_state: RoutingState, gossip: Gossip, rng: random.Random
-    ):
+    def __init__(self, routing_state: RoutingState, gossip: Gossip):
         self.loads = routing_state.loads
         self.known_objects = routing_state.placer.known_objects
         self.gossip = gossip
-        self.rng = rng
         gossip.on_loads = self.merge
 
     def run(self) -> None:
@@ -46,11 +38,7 @@
         items = self.loads.news.take()
         objects = self.known_objects.take_unsent()
         recipients = self.gossip.host_table.live(now=now)[1:]
-        if len(recipients) > MAX_DIRECT_RECIPIENTS:
-            items = self.loads.news.passed_on(now)
-            objects = []
-            recipients = self.rng.sample(recipients, RANDOM_RECIPIENTS)
-        if items or objects:
+        if (items or objects) and len(recipients) <= MAX_RECIPIENTS:
             self.gossip.send_loads(items, objects, recipients, now=now)
 
     def merge(self, loads: bytes, objects: bytes) -> None:
--- a/packages/gateway/sardinewheel_gateway/policy/load_news.py
+++ b/packages/gateway/sardinewheel_gateway/policy/load_news.py
@@ -4,9 +4,6 @@
 responses is seconds old, and requests that other hosts have sent meanwhile are
 missing in it. A host tells how many requests were at a target when it
 responded, and each request that it sends.
-
-In a large fleet this would exceed what a host may send. There, only reports of
-busy targets are told, to a few hosts that pass them on.
 """
 
 import struct
@@ -23,10 +20,6 @@
 # Target key, age and number of requests.
 ENTRY = struct.Struct("<IHB")
 MAX_ITEMS = 150
-# Reports in one message of a large fleet, and the time for which hosts pass
-# one on.
-MAX_PASSED_ON = 20
-PASSED_ON_S = 0.5
 
 
 class LoadItem(NamedTuple):
@@ -75,41 +68,21 @@
 
 
 class LoadNews:
-    """Observations to tell other hosts.
+    """Observations of this host that it has not told yet.
 
     Attributes:
-        items: Observations of this host that it has not told yet, the oldest
-            first.
-        notable: The newest report of each target that is or was busy, by
-            target key; of this host or heard from others.
+        items: The observations, oldest first.
     """
 
     def __init__(self):
         self.items: list[LoadItem] = []
-        self.notable: dict[int, LoadItem] = {}
 
     def add(self, item: LoadItem) -> None:
         """Adds an observation; drops the oldest ones if there are many."""
         self.items.append(item)
         del self.items[:-MAX_ITEMS]
 
-    def add_notable(self, item: LoadItem) -> None:
-        """Adds a report that hosts pass on to each other."""
-        self.notable[item.target_key] = item
-
     def take(self) -> list[LoadItem]:
-        """Returns and clears the observations of this host."""
+        """Returns and clears the observations."""
         items, self.items = self.items, []
         return items
-
-    def passed_on(self, now: float) -> list[LoadItem]:
-        """Returns the newest reports to pass on; forgets the older ones."""
-        self.notable = {
-            key: item
-            for key, item in self.notable.items()
-            if now - item.at < PASSED_ON_S
-        }
-        newest = sorted(
-            self.notable.values(), key=lambda item: item.at, reverse=True
-        )
-        return newest[:MAX_PASSED_ON]
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -90,7 +90,9 @@
         self.sent_at.append(now)
 
     def merge(self, item: LoadItem, *, now: float) -> None:
-        """Applies what another host observed after the last known report."""
+        """Applies what another host has observed."""
+        if item.at <= self.reported_at:
+            return
         if item.requests is None:
             oldest = max(self.reported_at, now - MAX_REPORT_AGE_S)
             self.others_sent_at = _after(oldest, self.others_sent_at)
@@ -192,14 +194,11 @@
         was_executed: bool,
     ) -> None:
         """Records the load report in a response."""
-        known = self.of(target_id)
-        was_busy = known.estimate(now) >= load.slots
-        known.record_load_report(load, now=now, was_executed=was_executed)
+        self.of(target_id).record_load_report(
+            load, now=now, was_executed=was_executed
+        )
         left = max(0, load.running + load.waiting - was_executed)
-        item = LoadItem(load_news.target_key(target_id), now, left)
-        self.news.add(item)
-        if was_busy or left >= load.slots:
-            self.news.add_notable(item)
+        self.news.add(LoadItem(load_news.target_key(target_id), now, left))
 
     def merge(self, data: bytes, *, now: float) -> None:
         """Applies what another host tells of targets known here.
@@ -209,11 +208,8 @@
         """
         for item in load_news.unpack(data, now):
             load = self.by_key.get(item.target_key)
-            if load is None or item.at <= load.reported_at:
-                continue
-            load.merge(item, now=now)
-            if item.requests is not None:
-                self.news.add_notable(item)
+            if load is not None:
+                load.merge(item, now=now)
 
     def copy(self) -> "LoadTable":
         """Returns a table of the same loads, which adds none to this one."""
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -199,9 +199,7 @@
         sender.on_completion = self.crash_exchange.record_completion
         self.crash_exchange.on_refused = sender.give_up_requests
         self.crash_exchange.on_synced = self._update_readiness
-        self.load_exchange = LoadExchange(
-            self.routing_state, self.gossip, self.rng
-        )
+        self.load_exchange = LoadExchange(self.routing_state, self.gossip)
         self.sync = StoreSync(
             routing_state=self.routing_state,
             gossip=self.gossip,
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -32,9 +32,7 @@
         self.loads = self.routing_state.loads
         self.known_objects = self.routing_state.placer.known_objects
         self.loads.of("t1")
-        self.exchange = LoadExchange(
-            self.routing_state, gossip, random.Random(2)
-        )
+        self.exchange = LoadExchange(self.routing_state, gossip)
         gossip.start()
         self.task = gevent.spawn(self.exchange.run)
 
@@ -88,31 +86,17 @@
     )
 
 
-def test_a_large_fleet_passes_busy_targets_on(hosts, monkeypatch):
-    monkeypatch.setattr(load_exchange, "MAX_DIRECT_RECIPIENTS", 2)
-    monkeypatch.setattr(load_exchange, "RANDOM_RECIPIENTS", 1)
-    told = []
-    for host in hosts:
-        send = host.gossip.send_loads
-        host.gossip.send_loads = lambda items, objects, to, *, now, s=send: (
-            told.append(len(to)),
-            s(items, objects, to, now=now),
-        )
-    hosts[0].respond(3, 4)
-    wait_until(lambda: sum(host.estimate() > 4.0 for host in hosts) >= 4)
-    assert set(told) == {1}
-
-
-def test_a_large_fleet_tells_nothing_of_idle_targets(hosts, monkeypatch):
-    monkeypatch.setattr(load_exchange, "MAX_DIRECT_RECIPIENTS", 2)
+def test_a_large_fleet_tells_nothing(hosts, monkeypatch):
+    monkeypatch.setattr(load_exchange, "MAX_RECIPIENTS", 4)
     gevent.sleep(0.2)
     told = []
     for host in hosts:
         host.gossip.send_loads = lambda *args, **_: told.append(args)
-    hosts[0].respond(1, 0)
+    hosts[0].respond(3, 4)
     hosts[1].loads.record_dispatch("t1", now=clock.steady())
     gevent.sleep(0.5)
     assert not told
+    assert not hosts[0].loads.news.items
 
 
 def test_a_host_without_others_keeps_no_news():
