--- a/packages/cli/sardinewheel_cli/request_trace.py
+++ b/packages/cli/sardinewheel_cli/request_trace.py
@@ -274,7 +274,8 @@
                 f"it queued at {target}, whose load was {load:.2f} times its "
                 "slots."
             )
-        if line.fields.get("choice") != "rank-0":
+        is_first = line.fields.get("choice") == "rank-0"
+        if not is_first and line.fields.get("known") != "True":
             return (
                 f"{target} was not its object's first-ranked target "
                 f"({line.fields.get('choice')}) and did not have the object."
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -277,6 +277,7 @@
             choice=placed.choice,
             load=placed.load,
             load_age_s=placed.load_age_s,
+            known=placed.knows_object,
             cold=placed.target.is_cold(began),
             waited_s=began - self.exchange.head.received_at,
             took_s=clock.steady() - began,
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -97,6 +97,7 @@
         slowdown: Time that work takes there now, relative to the usual time.
         expected_load: ``load``, but nearer to the mean of the service the
             older the report is.
+        knows_object: Whether it is known to have handled the object recently.
     """
 
     target: Target
@@ -106,6 +107,7 @@
     limit: Limit | None = None
     slowdown: float = 1.0
     expected_load: float = 0.0
+    knows_object: bool = True
 
     @property
     def delay(self) -> float:
@@ -238,25 +240,23 @@
         While no target knows the object, the first one counts as if it did:
         it is where the object becomes known.
         """
-        knowing = self._knowing(candidates, request, now) or candidates[:1]
+        candidates = [self._informed(x, request, now) for x in candidates]
+        is_known = any(placed.knows_object for placed in candidates)
+        learner = None if is_known else candidates[0]
         return min(
             candidates,
-            key=lambda placed: _cost(placed, is_known=placed in knowing),
+            key=lambda placed: _cost(placed, is_learner=placed is learner),
         )
 
-    def _knowing(
-        self, candidates: list[Placed], request: PlacementRequest, now: float
-    ) -> list[Placed]:
-        """Returns the targets that know the object of a request."""
+    def _informed(
+        self, placed: Placed, request: PlacementRequest, now: float
+    ) -> Placed:
+        """Returns a choice that says whether the target knows the object."""
         key = request.object_key
-        if not key:
-            return candidates
-        known, route = self.known_objects, request.route.name
-        return [
-            placed
-            for placed in candidates
-            if known.knows(placed.target.record.target_id, route, key, now=now)
-        ]
+        knows_object = not key or self.known_objects.knows(
+            placed.target.record.target_id, request.route.name, key, now=now
+        )
+        return placed._replace(knows_object=knows_object)
 
     def _refuse_for_room(
         self, request: PlacementRequest, best: Placed, now: float
@@ -477,8 +477,14 @@
         return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s * spread))
 
 
-def _cost(placed: Placed, *, is_known: bool) -> float:
-    """Returns the time to a response, in executions of known objects."""
+def _cost(placed: Placed, *, is_learner: bool) -> float:
+    """Returns the time to a response, in executions of known objects.
+
+    Args:
+        placed: The choice of a target.
+        is_learner: Whether the object becomes known there.
+    """
     wait = queue_per_slot(placed.load, placed.target.record.slots)
-    work = 1.0 if is_known else 1.0 + NEW_OBJECT_WORK
+    is_quick = placed.knows_object or is_learner
+    work = 1.0 if is_quick else 1.0 + NEW_OBJECT_WORK
     return (wait + work) * placed.slowdown
--- a/tests/gateway/test_operations_page.py
+++ b/tests/gateway/test_operations_page.py
@@ -23,6 +23,7 @@
     "target-joined": "info",
     "target-restarted": "info",
     "target-draining": "info",
+    "target-cold": "info",
     "target-changed": "info",
     "target-missing": "info",
     "target-gone": "info",
