Keep the age of a target's slowdown apart from that of its load

A load that another host tells says nothing of the target's speed, but made the last slowdown known here count as new. The test fails without the change. Objects of routes without affinity aren't recorded.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -312,9 +312,11 @@
         if answered.has_succeeded and response_info.is_authentic:
             now = clock.steady()
             self.routing_state.record_work(request.route, placed, now - began)
-            self.routing_state.record_object(
-                request.route, placed, request.caller.object_key, now=now
-            )
+            key = request.caller.object_key
+            if key and request.route.has_affinity:
+                self.routing_state.record_object(
+                    request.route, placed, key, now=now
+                )
         if answered.has_succeeded and not exchange.is_streaming:
             self.on_completion(request.digest)
         if not response_info.is_other_target:
--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -46,9 +46,10 @@
         others_in_flight: Requests of other hosts at the last report.
         sent_at: Times at which this host sent its latest requests.
         others_sent_at: Times at which other hosts sent theirs.
-        slowdown: Slowdown at the last report.
-        reported_at: Time of the last report, in seconds of the monotonic
-            clock.
+        slowdown: Slowdown at the last report to this host.
+        slowdown_reported_at: Time of that report.
+        reported_at: Time of the last report to any host, in seconds of the
+            monotonic clock.
         retry_at: Time from which it may be tried again after a failure.
         failures: Consecutive connection failures.
         error_share: Moving average of the share of errors among its
@@ -63,6 +64,7 @@
         self.sent_at: list[float] = []
         self.others_sent_at: list[float] = []
         self.slowdown = 1.0
+        self.slowdown_reported_at = float("-inf")
         self.reported_at = float("-inf")
         self.retry_at = float("-inf")
         self.failures = 0
@@ -82,6 +84,7 @@
         total = load.running + load.waiting
         self.others_in_flight = max(0.0, total - own)
         self.slowdown = max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, load.slowdown))
+        self.slowdown_reported_at = now
         self.reported_at = now
 
     def record_dispatch(self, *, now: float) -> None:
@@ -111,7 +114,7 @@
             >>> load.slowdown_at(1.0), load.slowdown_at(9.0) < 1.01
             (2.5, True)
         """
-        age_s = max(0.0, now - self.reported_at)
+        age_s = max(0.0, now - self.slowdown_reported_at)
         return 1.0 + (self.slowdown - 1.0) * math.exp(
             -age_s / SLOWDOWN_MEMORY_S
         )
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -1,10 +1,11 @@
 """Chooses the target of a request, or refuses the request immediately.
 
 Designed for a workload in which a request is three times as cheap at a target
-that has handled its object before. Queueing at that target is therefore faster
-than executing elsewhere until its queue takes about as long as a second
-execution. A request that would wait longer than callers do at both of its
-targets is refused before it uses any target capacity.
+that has handled its object before. Of the two targets of an object, the one is
+chosen whose queue and work take less time; a target that would have to learn
+the object first is so left out until the other one's queue is long. A request
+that would wait longer than callers do at both of its targets is refused before
+it uses any target capacity.
 """
 
 import math
--- a/tests/gateway/policy/test_loads.py
+++ b/tests/gateway/policy/test_loads.py
@@ -91,6 +91,15 @@
     assert other.load.estimate(NOW + 0.2) == 1.0
 
 
+def test_word_of_another_host_makes_no_old_slowdown_new(hosts):
+    host, other = hosts
+    other.load.record_load_report(ReportedLoad(1, 0, 3, 4.0), now=NOW)
+    host.send(NOW + 4.0)
+    host.receive(1, 0, NOW + 5.0)
+    host.tell(other, NOW + 5.0)
+    assert other.load.slowdown_at(NOW + 5.0) == pytest.approx(1.0, abs=0.01)
+
+
 def test_older_word_of_another_host_changes_nothing(hosts):
     host, other = hosts
     host.send(NOW)
