Let a target that is back learn its objects again

Cause: its objects had become known at their second target, which was preferred as long as its queue was short, so the first one learnt nothing.

Change: while the first target has a free slot, half of the requests for an object that only another knows count it as knowing.

--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -37,6 +37,9 @@
 # Work that an object new to a target adds to a request, in executions of known
 # objects.
 NEW_OBJECT_WORK = 1.33
+# Share of the requests for an object that teach it to its first target, while
+# that has a free slot and only another target knows the object.
+LEARNING_SHARE = 0.5
 ERROR_SHARE_LIMIT = 0.35
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
@@ -110,6 +113,11 @@
     expected_load: float = 0.0
     knows_object: bool = True
 
+    @property
+    def wait(self) -> float:
+        """Executions for which the request would wait for a slot."""
+        return queue_per_slot(self.load, self.target.record.slots)
+
     @property
     def delay(self) -> float:
         """Load, as it would be without the slowdown of the target."""
@@ -238,12 +246,15 @@
     ) -> Placed:
         """Returns the target that is expected to respond first.
 
-        While no target knows the object, the first one counts as if it did:
-        it is where the object becomes known.
+        The first one counts as if it knew the object while no target does, and
+        for a share of the requests while it has a free slot: it is where the
+        object becomes known, also if it was away.
         """
         candidates = [self._informed(x, request, now) for x in candidates]
+        first = candidates[0]
         is_known = any(placed.knows_object for placed in candidates)
-        learner = None if is_known else candidates[0]
+        may_learn = first.wait == 0.0 and self.rng.random() < LEARNING_SHARE
+        learner = first if may_learn or not is_known else None
         return min(
             candidates,
             key=lambda placed: _cost(placed, is_learner=placed is learner),
@@ -485,7 +496,6 @@
         placed: The choice of a target.
         is_learner: Whether the object becomes known there.
     """
-    wait = queue_per_slot(placed.load, placed.target.record.slots)
     is_quick = placed.knows_object or is_learner
     work = 1.0 if is_quick else 1.0 + NEW_OBJECT_WORK
-    return (wait + work) * placed.slowdown
+    return (placed.wait + work) * placed.slowdown
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -80,6 +80,37 @@
     )
 
 
+def test_target_that_knows_the_object_is_preferred_to_a_short_queue(
+    placer_and_targets,
+):
+    placer, first, second = placer_and_targets
+    placer.known_objects.record(first, route().name, "k", now=1.0)
+    report_load(placer, first, 4)
+    placed = placer.place(placement_request(), 1.0)
+    assert placed.target.record.target_id == first
+    placer.known_objects.record(second, route().name, "k", now=1.0)
+    placed = placer.place(placement_request(), 1.0)
+    assert placed.target.record.target_id == second
+
+
+def test_first_target_that_was_away_learns_its_objects_again(
+    placer_and_targets,
+):
+    placer, first, second = placer_and_targets
+    placer.known_objects.record(second, route().name, "k", now=1.0)
+    chosen = {
+        placer.place(placement_request(), 1.0).target.record.target_id
+        for _ in range(20)
+    }
+    assert chosen == {first, second}
+    placer.known_objects.record(first, route().name, "k", now=1.0)
+    chosen = {
+        placer.place(placement_request(), 1.0).target.record.target_id
+        for _ in range(20)
+    }
+    assert chosen == {first}
+
+
 def test_request_is_refused_with_retry_after_when_both_targets_are_full(
     placer_and_targets,
 ):
