Split the placement of a request from what it is asked and answers

A request to the placer, its answers and the usable targets have modules of their own; room.py imports them without a circle. Moved as it was, no decision changed.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -23,7 +23,7 @@
 )
 from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.announcements import Announcement
-from sardinewheel_gateway.policy.placement import Placed
+from sardinewheel_gateway.policy.placed import Placed
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.policy.targets import Target
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -29,11 +29,8 @@
 from sardinewheel_gateway.peer_sender import PeerAnswered, PeerFailed
 from sardinewheel_gateway.platform_adapter import CallerInfo
 from sardinewheel_gateway.policy.accounts import Account
-from sardinewheel_gateway.policy.placement import (
-    Placed,
-    PlacementRequest,
-    Refused,
-)
+from sardinewheel_gateway.policy.placed import Placed, Refused
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.reachability import Reachability
 from sardinewheel_gateway.policy.routes import Route
 from sardinewheel_gateway.request_digest import request_digest
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -24,7 +24,7 @@
     PeerSender,
 )
 from sardinewheel_gateway.policy.hosts import HostState
-from sardinewheel_gateway.policy.placement import Refused
+from sardinewheel_gateway.policy.placed import Refused
 
 if TYPE_CHECKING:
     from sardinewheel_gateway.forwarding import Forwarding
--- a/packages/gateway/sardinewheel_gateway/policy/explanation.py
+++ b/packages/gateway/sardinewheel_gateway/policy/explanation.py
@@ -10,12 +10,9 @@
 from typing import NamedTuple, TypedDict
 
 from sardinewheel_gateway.policy.accounts import Account
-from sardinewheel_gateway.policy.placement import (
-    Placed,
-    PlacementRequest,
-    Placer,
-    Refused,
-)
+from sardinewheel_gateway.policy.placed import Placed, Refused
+from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.routing_state import RoutingState
 
--- a/packages/gateway/sardinewheel_gateway/policy/placement.py
+++ b/packages/gateway/sardinewheel_gateway/policy/placement.py
@@ -8,25 +8,23 @@
 it uses any target capacity.
 """
 
-import math
 import random
-from itertools import accumulate
-from typing import NamedTuple
 
-from sardinewheel_gateway.policy.accounts import Account
-from sardinewheel_gateway.policy.announcements import (
-    AnnouncementTable,
-    Limit,
-)
+from sardinewheel_gateway.policy.announcements import AnnouncementTable
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission
-from sardinewheel_gateway.policy.finish_estimate import queue_per_slot
 from sardinewheel_gateway.policy.known_objects import KnownObjects
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable
 from sardinewheel_gateway.policy.objects import ObjectTable, ObjectUse
+from sardinewheel_gateway.policy.placed import (
+    MAX_LOAD_AGE_S,
+    Placed,
+    Refused,
+)
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.room import Bound, Room
-from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.targets import Target, TargetTable
+from sardinewheel_gateway.policy.usable_targets import UsableTargets
 
 # Estimated requests at a target, divided by its slots: the load up to which a
 # spare target of the object's order is used, and the loads from which normal
@@ -47,139 +45,13 @@
 # Time over which callers return that wait for the same target.
 RETURN_SPREAD_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
-MAX_LOAD_AGE_S = 999.0
 MAX_CACHED_USABLE = 64
-# Draws for two different targets, where sizes differ.
-MAX_DRAWS = 4
 # Targets asked for a free slot before a refusal, and the age up to which the
 # report of one holds.
 FREE_SLOT_SAMPLES = 4
 MAX_FREE_SLOT_AGE_S = 0.5
 
 
-class PlacementRequest(NamedTuple):
-    """Properties of a request that determine its target.
-
-    Attributes:
-        service: Service that executes the request.
-        route: Route of the request.
-        object_key: Key of the object that the request concerns, or an empty
-            string.
-        is_urgent: Whether its priority is higher than the lowest priority
-            among the routes of its service.
-        tried: Ids of targets that were already tried, also unreachable ones.
-        account: The caller's account, if any.
-        deadline: Time at which the caller stops waiting, on the monotonic
-            clock.
-    """
-
-    service: str
-    route: Route
-    object_key: str
-    is_urgent: bool
-    tried: frozenset[str] = frozenset()
-    account: Account | None = None
-    deadline: float = math.inf
-
-    @property
-    def home_regions(self) -> frozenset[str]:
-        """Regions that may execute it; empty for all."""
-        return common_homes(self.route, self.account)
-
-
-class Placed(NamedTuple):
-    """The target chosen for a request, and the data behind the choice.
-
-    Attributes:
-        target: The target.
-        load: Estimated requests at the target, divided by its slots.
-        choice: ``rank-0`` or ``rank-1`` for the preferred targets, ``spare``
-            for any other.
-        load_age_s: Seconds since the target last reported its load, at most
-            ``MAX_LOAD_AGE_S``, also if it never has.
-        limit: Limit that the target names, if any.
-        slowdown: Time that work takes there now, relative to the usual time.
-        expected_load: ``load``, but nearer to the mean of the service the
-            older the report is.
-        knows_object: Whether it is known to have handled the object recently.
-    """
-
-    target: Target
-    load: float
-    choice: str
-    load_age_s: float = 0.0
-    limit: Limit | None = None
-    slowdown: float = 1.0
-    expected_load: float = 0.0
-    knows_object: bool = True
-
-    @property
-    def wait(self) -> float:
-        """Executions for which the request would wait for a slot."""
-        return queue_per_slot(self.load, self.target.record.slots)
-
-    @property
-    def delay(self) -> float:
-        """Load, as it would be without the slowdown of the target."""
-        return self.load * self.slowdown
-
-
-class Refused(NamedTuple):
-    """A refusal of a request that no target has executed.
-
-    Attributes:
-        reason: ``no-target``, ``targets-down``, ``targets-limited``,
-            ``targets-paused``, ``deadline-unreachable`` or ``overload`` from
-            the placer; other reasons come from the attempts and their limits.
-        retry_after_s: Seconds after which the caller may retry.
-        load: Load expected at the best target, divided by its slots; 0 without
-            one.
-    """
-
-    reason: str
-    retry_after_s: float
-    load: float = 0.0
-
-
-class UsableTargets(NamedTuple):
-    """Targets that may execute the requests of a route.
-
-    Attributes:
-        source: All usable targets of the service, before the filter on home
-            regions.
-        ids: Target ids, sorted.
-        by_id: Targets by id.
-        weights: Size of each target in slots, at least 1, by id.
-        size_sums: Running totals of the sizes, in the order of ``ids``; empty
-            if all are equal.
-    """
-
-    source: list[Target]
-    ids: tuple[str, ...]
-    by_id: dict[str, Target]
-    weights: dict[str, int]
-    size_sums: tuple[int, ...]
-
-    @classmethod
-    def of(cls, source: list[Target], targets: list[Target]) -> "UsableTargets":
-        """Returns an instance for a sorted subset of ``source``."""
-        by_id = {target.record.target_id: target for target in targets}
-        weights = {x: max(1, by_id[x].record.slots) for x in by_id}
-        are_equal = len(set(weights.values())) <= 1
-        size_sums = () if are_equal else tuple(accumulate(weights.values()))
-        return cls(source, tuple(by_id), by_id, weights, size_sums)
-
-    def sample(self, rng: random.Random) -> list[str]:
-        """Returns up to two targets at random, the first by size."""
-        if not self.size_sums:
-            return rng.sample(self.ids, min(2, len(self.ids)))
-        first, *rest = rng.choices(
-            self.ids, cum_weights=self.size_sums, k=MAX_DRAWS
-        )
-        second = next((x for x in rest if x != first), None)
-        return [first] if second is None else [first, second]
-
-
 class Placer:
     """Assigns requests to targets.
 
--- a/packages/gateway/sardinewheel_gateway/policy/room.py
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -11,19 +11,18 @@
 
 import copy
 import random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from sardinewheel_gateway.policy.fair_share import FairShare
 from sardinewheel_gateway.policy.finish_estimate import (
     FinishEstimate,
     queue_per_slot,
 )
+from sardinewheel_gateway.policy.placed import Placed
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.service_load import ServiceLoad
 from sardinewheel_gateway.policy.work_times import Work, WorkTimes
 
-if TYPE_CHECKING:
-    from sardinewheel_gateway.policy.placement import Placed, PlacementRequest
-
 # A request is refused if this part of its estimated time exceeds the time that
 # its caller has left: a wrong refusal costs more than a wrong attempt.
 CERTAIN_PART = 0.85
@@ -99,7 +98,7 @@
         mean = self.service_load(service)
         return mean.expected(load, age_s=age_s, now=now)
 
-    def full_load(self, request: "PlacementRequest", now: float) -> float:
+    def full_load(self, request: PlacementRequest, now: float) -> float:
         """Returns the load from which a request is refused now."""
         usual = self.bound.urgent if request.is_urgent else self.bound.normal
         work = work_of(request)
@@ -112,7 +111,7 @@
             full_load -= OVER_SHARE_LOAD
         return full_load
 
-    def finish_s(self, request: "PlacementRequest", placed: "Placed") -> float:
+    def finish_s(self, request: PlacementRequest, placed: Placed) -> float:
         """Returns the estimated seconds until a target would respond.
 
         It is 0 while the work of the route is unknown.
@@ -129,7 +128,7 @@
         ).finish_s
 
     def is_hopeless(
-        self, request: "PlacementRequest", placed: "Placed", now: float
+        self, request: PlacementRequest, placed: Placed, now: float
     ) -> bool:
         """Returns whether a response would come after the deadline.
 
@@ -144,7 +143,7 @@
         left_s = request.deadline - now
         return CERTAIN_PART * self.finish_s(request, placed) > left_s
 
-    def drain_s(self, request: "PlacementRequest", load: float) -> float:
+    def drain_s(self, request: PlacementRequest, load: float) -> float:
         """Returns the seconds until a queue is short enough, spread at random.
 
         Callers that were refused together don't return together. One with
@@ -159,7 +158,7 @@
         return drain_s * self.rng.uniform(MIN_DRAIN_PART, MAX_DRAIN_PART)
 
     def record_decision(
-        self, request: "PlacementRequest", now: float, *, is_admitted: bool
+        self, request: PlacementRequest, now: float, *, is_admitted: bool
     ) -> None:
         """Counts the first decision on a request for the shares."""
         if request.tried or not self.is_dividing:
@@ -181,7 +180,7 @@
         )
 
     def record_response(
-        self, request_work: Work, placed: "Placed", response_s: float
+        self, request_work: Work, placed: Placed, response_s: float
     ) -> None:
         """Learns from the response time of a request that was executed."""
         self.work_times.record(
@@ -193,7 +192,7 @@
         )
 
     def record_timeout(
-        self, request_work: Work, placed: "Placed", waited_s: float
+        self, request_work: Work, placed: Placed, waited_s: float
     ) -> None:
         """Learns from a request that got no response in its time."""
         self.work_times.record_lower_bound(
@@ -225,17 +224,15 @@
         missing = AMPLE_SHARE - shares.served_share_at(now)
         return max(0.0, min(1.0, missing / (AMPLE_SHARE - SHORT_SHARE)))
 
-    def _is_over_share(self, request: "PlacementRequest", now: float) -> bool:
+    def _is_over_share(self, request: PlacementRequest, now: float) -> bool:
         shares = self._shares(request)
         return any(share.is_over(key, now) for share, key in shares)
 
-    def _is_starved(self, request: "PlacementRequest", now: float) -> bool:
+    def _is_starved(self, request: PlacementRequest, now: float) -> bool:
         shares = self._shares(request)
         return any(share.is_starved(key, now) for share, key in shares)
 
-    def _shares(
-        self, request: "PlacementRequest"
-    ) -> list[tuple[FairShare, str]]:
+    def _shares(self, request: PlacementRequest) -> list[tuple[FairShare, str]]:
         found = []
         routes = self.route_shares.get(request.service)
         if routes is not None:
@@ -246,7 +243,7 @@
         return found
 
 
-def work_of(request: "PlacementRequest") -> Work:
+def work_of(request: PlacementRequest) -> Work:
     """Returns the work that a request asks of its service."""
     route = request.route
     return Work(request.service, route.name, route.objective_s)
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -15,7 +15,8 @@
 from sardinewheel_gateway.policy.crash_suspects import CrashSuspects
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.placement import Placed, Placer
+from sardinewheel_gateway.policy.placed import Placed
+from sardinewheel_gateway.policy.placement import Placer
 from sardinewheel_gateway.policy.retries import RetryBound, RetryBudget
 from sardinewheel_gateway.policy.routes import (
     Configuration,
--- a/packages/gateway/sardinewheel_gateway/responder.py
+++ b/packages/gateway/sardinewheel_gateway/responder.py
@@ -11,7 +11,7 @@
 from sardinewheel_gateway.messages import Headers
 from sardinewheel_gateway.metrics import Series
 from sardinewheel_gateway.peer_sender import PeerAnswered
-from sardinewheel_gateway.policy.placement import Refused
+from sardinewheel_gateway.policy.placed import Refused
 
 if TYPE_CHECKING:
     from sardinewheel_gateway.forwarding import Forwarding
--- a/packages/testing/sardinewheel_testing/emulator/dispatch.py
+++ b/packages/testing/sardinewheel_testing/emulator/dispatch.py
@@ -11,11 +11,9 @@
     ObjectUse,
     Preference,
 )
-from sardinewheel_gateway.policy.placement import (
-    Placed,
-    PlacementRequest,
-    Placer,
-)
+from sardinewheel_gateway.policy.placed import Placed
+from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.room import Room
 from sardinewheel_gateway.policy.service_load import ServiceLoad
 
--- a/packages/testing/sardinewheel_testing/emulator/hosts.py
+++ b/packages/testing/sardinewheel_testing/emulator/hosts.py
@@ -8,11 +8,8 @@
 from sardinewheel_gateway.policy.announcements import Announcement
 from sardinewheel_gateway.policy.cold_admission import ColdBound
 from sardinewheel_gateway.policy.loads import ReportedLoad
-from sardinewheel_gateway.policy.placement import (
-    Placed,
-    PlacementRequest,
-    Refused,
-)
+from sardinewheel_gateway.policy.placed import Placed, Refused
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.retries import RetryBound
 from sardinewheel_gateway.policy.routes import Configuration, Limits, Service
 from sardinewheel_gateway.policy.routing_state import (
--- a/tests/gateway/policy/test_explanation.py
+++ b/tests/gateway/policy/test_explanation.py
@@ -9,7 +9,8 @@
 from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.cold_admission import ColdBound
 from sardinewheel_gateway.policy.explanation import Question, explain
-from sardinewheel_gateway.policy.placement import Placed, PlacementRequest
+from sardinewheel_gateway.policy.placed import Placed
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.retries import RetryBound
 from sardinewheel_gateway.policy.routes import (
     Configuration,
--- a/tests/gateway/policy/test_finish_estimate.py
+++ b/tests/gateway/policy/test_finish_estimate.py
@@ -4,7 +4,7 @@
 from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.finish_estimate import FinishEstimate
 from sardinewheel_gateway.policy.loads import ReportedLoad
-from sardinewheel_gateway.policy.placement import Placed, Refused
+from sardinewheel_gateway.policy.placed import Placed, Refused
 from sardinewheel_gateway.policy.room import work_of
 
 from tests.gateway.policy.test_placement import (
--- a/tests/gateway/policy/test_placement.py
+++ b/tests/gateway/policy/test_placement.py
@@ -7,12 +7,9 @@
 from sardinewheel_gateway.policy.cold_admission import ColdAdmission, ColdBound
 from sardinewheel_gateway.policy.limit_admission import LimitAdmission
 from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
-from sardinewheel_gateway.policy.placement import (
-    Placed,
-    PlacementRequest,
-    Placer,
-    Refused,
-)
+from sardinewheel_gateway.policy.placed import Placed, Refused
+from sardinewheel_gateway.policy.placement import Placer
+from sardinewheel_gateway.policy.placement_request import PlacementRequest
 from sardinewheel_gateway.policy.targets import TargetTable
 
 from tests.gateway.policy.test_routes import route
