--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,18 +12,18 @@
 HERE = Path(__file__).resolve().parent
 sys.path.append(str(HERE.parent))
 
-from standins.case import CaseError, Record, main  # noqa: E402
-from standins.clients import Clients  # noqa: E402
-from standins.machines import Fleet, free_network  # noqa: E402
-from standins.operator import (  # noqa: E402
+from standin_case import CaseError, Record, main  # noqa: E402
+from standin_clients import Clients  # noqa: E402
+from standin_machines import Fleet, free_network  # noqa: E402
+from standin_operator import (  # noqa: E402
     HOST_NAME,
     ORDERS,
     WORKSHOP,
     Operator,
 )
-from standins.store import Store  # noqa: E402
-from standins.traffic import play_phase, record_runs, share_served  # noqa: E402
-from standins.workers import Run, Worker  # noqa: E402
+from standin_store import Store  # noqa: E402
+from standin_traffic import play_phase, record_runs, share_served  # noqa: E402
+from standin_workers import Run, Worker  # noqa: E402
 
 ZONES = {
     "quito-curtiembre": "sierra-norte",
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # only. The gateways are built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m py_compile review/standins/*.py review/*/case.py
+python3 -m py_compile review/standin_*.py review/*/case.py
--- a/review/standins/case.py
+++ b/review/standin_case.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from standins.machines import DEPLOY_FILE, LIBRARIES
+from standin_machines import DEPLOY_FILE, LIBRARIES
 
 HELD = 0
 BROKEN = 1
--- a/review/standins/clients.py
+++ b/review/standin_clients.py
@@ -5,8 +5,8 @@
 import time
 from typing import NamedTuple
 
-from standins.http import read_message
-from standins.workers import body_of, digest_of
+from standin_http import read_message
+from standin_workers import body_of, digest_of
 
 CONNECT_TIMEOUT_S = 1.0
 READY_TIMEOUT_S = 1.0
--- a/review/standins/machines.py
+++ b/review/standin_machines.py
@@ -12,10 +12,10 @@
 import tomllib
 from pathlib import Path
 
-from standins.clients import is_ready
-from standins.store import Store
+from standin_clients import is_ready
+from standin_store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 # The build's libraries are on Python's path.
 LIBRARIES = ROOT / "target" / "deps"
--- a/review/standins/operator.py
+++ b/review/standin_operator.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from standins.store import Store
+from standin_store import Store
 
 HOST_NAME = "ficu95.example"
 ORDERS = "pedidos"
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
-from standins.http import read_message
+from standin_http import read_message
 
 ANSWER_DELAY_S = 0.004
 MAX_PAGE_ROWS = 500
--- a/review/standins/traffic.py
+++ b/review/standin_traffic.py
@@ -4,9 +4,9 @@
 import time
 from collections.abc import Sequence
 
-from standins.case import Record
-from standins.clients import Answer, Clients
-from standins.workers import Run
+from standin_case import Record
+from standin_clients import Answer, Clients
+from standin_workers import Run
 
 # Objects that requests concern.
 OBJECTS = 24
--- a/review/standins/workers.py
+++ b/review/standin_workers.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from standins.http import read_message
-from standins.store import Store
+from standin_http import read_message
+from standin_store import Store
 
 SLOTS = 3
 QUEUE = 9
