--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -65,9 +65,11 @@
         return f"127.0.0.1:{self.server.server_port}"
 
     def put(self, table, key, value):
-        """Writes a row; ``None`` deletes it."""
+        """Writes a row, as JSON unless it is bytes; ``None`` deletes it."""
         self.version += 1
-        data = None if value is None else json.dumps(value).encode()
+        data = value
+        if value is not None and not isinstance(value, bytes):
+            data = json.dumps(value).encode()
         self.rows[table, key] = (self.version, data)
         self.changed.set()
         self.changed.clear()
