Log what tells a late update from a wrong request

The record of the incident has 404 lines without the host and path that were asked for, rejected requests without a reason, and no line of a host that lacks the updates of others, so a dropped route, a configuration that has not arrived and a request that can't be read look alike.

no-route lines name authority and path, request-rejected its reason, and handler-failed and task-failed the place in the code. updates-missing and updates-complete, and the gauge updates_behind_seconds, tell when another host is ahead for over 1.5 s.

--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -182,7 +182,14 @@
             head.host.decode("latin-1"), head.path.decode("latin-1")
         )
         if route is None:
-            self.respond(exchange, caller, NOT_FOUND, "no-route")
+            self.respond(
+                exchange,
+                caller,
+                NOT_FOUND,
+                "no-route",
+                authority=head.host,
+                path=head.path.partition(b"?")[0],
+            )
         return route
 
     def _admit_account(
--- a/packages/gateway/sardinewheel_gateway/http_server.py
+++ b/packages/gateway/sardinewheel_gateway/http_server.py
@@ -21,6 +21,7 @@
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.messages import RequestHead, header_value
 from sardinewheel_gateway.policy.routes import Limits
+from sardinewheel_gateway.supervision import failure_location
 
 READ_BLOCK_BYTES = 64 * 1024
 MAX_PIPELINED = 16
@@ -170,7 +171,7 @@
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
-                self._reject(parser, error.error_status_hint)
+                self._reject(parser, error.error_status_hint, str(error))
                 return None
             if isinstance(event, h11.Request):
                 return self._validate_head(parser, event)
@@ -179,7 +180,7 @@
             data = self._receive(deadline)
             if data is None:
                 if has_bytes:
-                    self._reject(parser, REQUEST_TIMEOUT)
+                    self._reject(parser, REQUEST_TIMEOUT, "head not complete")
                 return None
             if not data:
                 return None
@@ -199,11 +200,11 @@
         if path[:1] != b"/":
             host, path = _absolute_form(path)
         if is_ambiguous or path[:1] != b"/" or names.count(b"host") > 1:
-            self._reject(parser, BAD_REQUEST)
+            self._reject(parser, BAD_REQUEST, "ambiguous framing or target")
             return None
         length = header_value(headers, b"content-length")
         if length and int(length) > self.server.limits.max_body_bytes:
-            self._reject(parser, BODY_TOO_LARGE)
+            self._reject(parser, BODY_TOO_LARGE, "body too large")
             return None
         return RequestHead(event.method, path, host, headers, clock.steady())
 
@@ -296,7 +297,7 @@
                 return None
             deadline = clock.steady() + self.server.limits.idle_timeout_s
 
-    def _reject(self, parser, status: int) -> None:
+    def _reject(self, parser, status: int, reason: str) -> None:
         """Responds to an invalid request and closes the connection."""
         head = RequestHead(b"", b"", b"", [], clock.steady())
         exchange = Exchange(self, parser, head)
@@ -304,7 +305,7 @@
         if self.exchanges[0] is exchange:
             exchange.may_respond.set()
         self.final_exchange = exchange
-        self.server.request_rejected(status)
+        self.server.request_rejected(status, reason)
         if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             exchange.respond(status, [], b"")
         self._linger()
@@ -370,9 +371,9 @@
         """Registers a request."""
         self.in_progress.add(exchange)
 
-    def request_rejected(self, status: int) -> None:
+    def request_rejected(self, status: int, reason: str) -> None:
         """Logs an invalid request."""
-        self.log.warning("request-rejected", status=status)
+        self.log.warning("request-rejected", status=status, reason=reason)
 
     def serve(self, exchange: Exchange) -> None:
         """Runs the handler for a request."""
@@ -381,7 +382,12 @@
         except CallerGoneError:
             pass
         except Exception as error:
-            self.log.error("handler-failed", error=repr(error))
+            self.log.error(
+                "handler-failed",
+                error=repr(error),
+                path=exchange.head.path,
+                at=failure_location(error),
+            )
             if exchange.has_begun:
                 exchange.abort()
             else:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -363,6 +363,7 @@
             "limited_targets": len(self.routing_state.announcements.limits),
             "suspected_requests": len(self.routing_state.crash_suspects.runs),
             "crashing_requests": len(self.routing_state.crash_suspects.refused),
+            "updates_behind_seconds": self.sync.relay.behind_s(),
             "hosts": len(self.host_table.live(now=clock.steady())),
             "requests_under_way": self._requests_under_way(),
             "peer_requests": self.forwarder.peer_requests,
--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -29,6 +29,8 @@
 CATCH_UP_INTERVAL_S = 0.5
 CATCH_UP_DELAY_S = 0.05
 MAX_STORE_LAG_S = 1.2
+# Time without the updates of other hosts after which it is logged.
+MAX_LAG_S = 1.5
 # Within this time a host of the region has read the store, if it is available.
 CROSS_REGION_START_DELAY_S = 0.8
 MAX_PUSH_BYTES = 1300
@@ -47,6 +49,8 @@
             store, waits for changes that another host has; None if it does not.
         awaited: Positions of those changes.
         started_at: Time at which this host started, on the monotonic clock.
+        behind_since: Time since which another host has been ahead, if one is.
+        is_lag_logged: Whether that was logged.
         wakeup: Set to run a check before ``CATCH_UP_INTERVAL_S`` is over.
     """
 
@@ -65,6 +69,8 @@
         self.on_lag = on_lag
         self.ahead_since: float | None = None
         self.awaited = Positions()
+        self.behind_since: float | None = None
+        self.is_lag_logged = False
         self.started_at = clock.steady()
         self.log = log
         self.rng = rng
@@ -93,6 +99,7 @@
     def catch_up(self) -> None:
         """Requests and applies one update if another host is ahead."""
         ahead = self._hosts_ahead()
+        self._track_lag(bool(ahead))
         if not ahead:
             self.ahead_since = None
             return
@@ -111,6 +118,32 @@
             return
         self.apply_update(update, peer.name)
 
+    def behind_s(self) -> float:
+        """Returns the seconds for which another host has been ahead."""
+        if self.behind_since is None:
+            return 0.0
+        return clock.steady() - self.behind_since
+
+    def _track_lag(self, is_behind: bool) -> None:
+        """Logs when this host lacks updates for long, and when no more."""
+        if not is_behind:
+            if self.is_lag_logged:
+                self.log.info("updates-complete", behind_s=self.behind_s())
+            self.behind_since = None
+            self.is_lag_logged = False
+            return
+        if self.behind_since is None:
+            self.behind_since = clock.steady()
+        if self.behind_s() >= MAX_LAG_S and not self.is_lag_logged:
+            self.is_lag_logged = True
+            own = self.host_table.own.positions
+            self.log.warning(
+                "updates-missing",
+                behind_s=self.behind_s(),
+                operators=own.operators,
+                targets=own.targets,
+            )
+
     def _waits_for_store(self, ahead: list[HostState]) -> bool:
         """Returns whether to wait for the store to send the update itself.
 
--- a/packages/gateway/sardinewheel_gateway/supervision.py
+++ b/packages/gateway/sardinewheel_gateway/supervision.py
@@ -1,6 +1,8 @@
 """Greenlets that are restarted after a failure."""
 
+import traceback
 from collections.abc import Callable
+from pathlib import PurePath
 
 import gevent
 
@@ -23,7 +25,21 @@
             try:
                 function()
             except Exception as error:
-                log.error("task-failed", task=name, error=repr(error))
+                log.error(
+                    "task-failed",
+                    task=name,
+                    error=repr(error),
+                    at=failure_location(error),
+                )
                 gevent.sleep(RESTART_DELAY_S)
 
     return gevent.spawn(run)
+
+
+def failure_location(error: Exception) -> str:
+    """Returns file, line and function in which an error was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    last = frames[-1]
+    return f"{PurePath(last.filename).name}:{last.lineno}:{last.name}"
