Keep the log's writer running whatever a line holds

Values are escaped and cut when a line is made, so that each event takes one line of bounded length, the writer encodes what is left with escapes, and it is restarted like other tasks. warn_once and error_once log a failure the first time for a key and count the others. The first new test failed before with that error.

--- a/packages/gateway/sardinewheel_gateway/log.py
+++ b/packages/gateway/sardinewheel_gateway/log.py
@@ -7,6 +7,7 @@
 
 import sys
 from collections import Counter, deque
+from collections.abc import Hashable
 
 import gevent
 from gevent.event import Event
@@ -14,10 +15,13 @@
 from gevent.os import make_nonblocking, nb_write
 
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.supervision import keep_running
 
 MAX_QUEUED_LINES = 2000
 MAX_ROUTINE_PER_S = 100
 MAX_DEFAULT_PER_S = 400
+MAX_LOGGED_KEYS = 2000
+MAX_VALUE_CHARS = 400
 FLUSH_INTERVAL_S = 0.25
 FLUSH_TIMEOUT_S = 0.3
 LEVELS = ("debug", "info", "warning", "error")
@@ -32,6 +36,7 @@
         default_limit: Rate limit of all other lines.
         events: Occurrences of each event of at least the minimum level,
             including lines not written.
+        logged: Events and keys that were logged once, the latest last.
     """
 
     def __init__(self, *, host: str, level: str = "info", descriptor=None):
@@ -42,6 +47,7 @@
         self.events: Counter[str] = Counter()
         self.routine_limit = RateLimit(MAX_ROUTINE_PER_S)
         self.default_limit = RateLimit(MAX_DEFAULT_PER_S)
+        self.logged: dict[tuple[str, Hashable], None] = {}
         self.has_lines = Event()
         self.descriptor = descriptor
         self.unwritten = b""
@@ -52,7 +58,7 @@
         if self.descriptor is None:
             self.descriptor = sys.stdout.fileno()
         make_nonblocking(self.descriptor)
-        gevent.spawn(self._write_forever)
+        keep_running("log", self._write_forever, self)
 
     def debug(self, event: str, **fields) -> None:
         """Logs an expected event."""
@@ -74,11 +80,31 @@
         """Logs a failure that needs an operator."""
         self._add(3, event, fields)
 
+    def warn_once(self, event: str, key: Hashable, **fields) -> None:
+        """Logs a failure that was handled, the first time for a key."""
+        self._add_once(2, event, key, fields)
+
+    def error_once(self, event: str, key: Hashable, **fields) -> None:
+        """Logs a failure that needs an operator, the first time for a key."""
+        self._add_once(3, event, key, fields)
+
     def flush(self) -> None:
         """Writes the queued lines, within ``FLUSH_TIMEOUT_S``."""
         with gevent.Timeout(FLUSH_TIMEOUT_S, False):
             self._write_queued()
 
+    def _add_once(
+        self, level: int, event: str, key: Hashable, fields: dict
+    ) -> None:
+        """Adds a line unless there was one for the key; counts the event."""
+        if (event, key) in self.logged:
+            self.events[event] += 1
+            return
+        self.logged[event, key] = None
+        if len(self.logged) > MAX_LOGGED_KEYS:
+            del self.logged[next(iter(self.logged))]
+        self._add(level, event, fields)
+
     def _add(
         self,
         level: int,
@@ -128,7 +154,10 @@
     def _write_queued(self) -> None:
         with self.write_lock:
             self._log_omitted()
-            self.unwritten += "".join(self.lines).encode()
+            # Values may hold text that can't be encoded, as parts of addresses.
+            self.unwritten += "".join(self.lines).encode(
+                errors="backslashreplace"
+            )
             self.lines.clear()
             while self.unwritten:
                 try:
@@ -166,11 +195,28 @@
 
 
 def _format_value(value) -> str:
+    """Returns a value as it stands in a line.
+
+    A value of another process can hold any text, so characters that end a line
+    or that can't be shown are escaped, and long values are cut.
+    """
     if isinstance(value, float):
         return f"{value:.3f}"
     if isinstance(value, bytes):
         value = value.decode("latin-1")
     text = str(value)
-    if not text or any(c in text for c in ' "=\n'):
-        return '"' + text.replace('"', "'").replace("\n", " ") + '"'
+    if len(text) > MAX_VALUE_CHARS:
+        text = f"{text[:MAX_VALUE_CHARS]}..."
+    if not text.isprintable():
+        text = "".join(map(_escape, text))
+    if not text or any(c in text for c in ' "='):
+        return '"' + text.replace('"', "'") + '"'
     return text
+
+
+def _escape(character: str) -> str:
+    if character.isprintable():
+        return character
+    if character == "\n":
+        return " "
+    return character.encode("unicode_escape").decode("ascii")
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -3,7 +3,14 @@
 import os
 
 import gevent
-from sardinewheel_gateway.log import MAX_QUEUED_LINES, Log, RateLimit
+from hypothesis import given
+from hypothesis import strategies as st
+from sardinewheel_gateway.log import (
+    MAX_QUEUED_LINES,
+    MAX_VALUE_CHARS,
+    Log,
+    RateLimit,
+)
 
 
 def read_all(descriptor):
@@ -75,3 +82,33 @@
     for number in range(10):
         log.info("target-gone", target=f"t{number}")
     assert log.events["target-gone"] == 10
+
+
+def test_text_that_can_not_be_encoded_does_not_end_the_writer():
+    reader, log = pipe_log()
+    log.info("target-joined", target="\ud800", host_name="a\nlevel=error\x1b")
+    log.flush()
+    log.info("target-gone", target="t1")
+    log.flush()
+    first, second = read_all(reader).splitlines()
+    assert "target=\\ud800" in first
+    assert 'host_name="a level=error\\x1b"' in first
+    assert "event=target-gone target=t1" in second
+
+
+@given(st.text(st.characters(exclude_categories=())) | st.binary())
+def test_any_value_takes_one_line_of_bounded_length(value):
+    _, log = pipe_log()
+    log.info("event", value=value)
+    (line,) = log.lines
+    assert line.count("\n") == 1
+    assert len(line.encode()) < 200 + 16 * MAX_VALUE_CHARS
+
+
+def test_a_key_is_logged_once_and_each_event_is_counted():
+    _, log = pipe_log()
+    for key in ("a", "b", "a"):
+        log.warn_once("target-refused", key, reason=key)
+    assert [x for x in log.lines if "reason=a" in x] == [log.lines[0]]
+    assert len(log.lines) == 2
+    assert log.events["target-refused"] == 3
