Check each value of another process once, where it is read

A record with 10^400 slots made placement and the tick raise OverflowError.

Class: a value of another process is used in steps that can't use it (encode, resolve, compare, add up, log). policy/values.py and policy/wire.py now check each value where it is read: records and configurations of the store, updates and datagrams of hosts (against the types of their fields), their headers on requests, numbers in headers of targets and callers, settings. Addresses are IPv4 with a valid port, as connects and datagrams would otherwise look up names in threads, or in the loop. A datagram of any kind no longer stops the listener for a second. A seed that can't be used is left out; it kept a host from starting.

Generated values for each decoder (hypothesis). The relays of the tests to targets stand in for socket.connect, as create_connection is no longer used.

--- a/packages/gateway/sardinewheel_gateway/gossip.py
+++ b/packages/gateway/sardinewheel_gateway/gossip.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import cbor2
 import gevent
@@ -38,11 +38,11 @@
     Update,
     from_plain,
 )
-from sardinewheel_gateway.policy.wire import from_fields
+from sardinewheel_gateway.policy.values import check_text, split_address
+from sardinewheel_gateway.policy.wire import decode_cbor, from_fields
 from sardinewheel_gateway.supervision import keep_running
 
 MAX_DATAGRAM_BYTES = 2048
-DECODE_ERRORS = (ValueError, TypeError, LookupError, cbor2.CBORDecodeError)
 UPDATE = 2
 OBJECTS = 3
 ANNOUNCEMENTS = 8
@@ -314,33 +314,42 @@
             self._send(address, data)
 
     def _send(self, address: str, data: bytes) -> None:
-        host, _, port = address.rpartition(":")
         try:
-            self.sock.sendto(data, (host, int(port)))
+            self.sock.sendto(data, split_address(address))
         except (OSError, ValueError) as error:
             self.log.debug("datagram-not-sent", to=address, error=error)
 
     def _listen(self) -> None:
         while True:
-            data, _ = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                self._handle_datagram(cbor2.loads(data))
-            except DECODE_ERRORS as error:
-                self.log.warning("datagram-unreadable", error=repr(error))
-
-    def _handle_datagram(self, message: list) -> None:
+                self._handle_datagram(decode_cbor(data))
+            except Exception as error:
+                # Whatever a datagram holds, the next one is received.
+                self.log.warn_once(
+                    "datagram-unreadable",
+                    (sender, type(error)),
+                    sender=sender[0],
+                    error=repr(error),
+                )
+
+    def _handle_datagram(self, message: Any) -> None:
+        if not isinstance(message, list) or not message:
+            raise ValueError("not a list with a kind")
         kind = message[0]
         if kind in membership.KINDS:
             replies = self.protocol.handle(message, now=clock.steady())
             self._send_all(replies)
         elif kind == UPDATE:
             _, name, data, *_ = message
-            self.on_update(from_plain(cbor2.loads(data)), name)
+            update = from_plain(decode_cbor(data))
+            self.on_update(update, check_text(name, "host"))
         elif kind == OBJECTS:
             self.on_objects([from_fields(ObjectUse, x) for x in message[1]])
         elif kind == ANNOUNCEMENTS:
             _, name, plain, *_ = message
-            self.on_announcements(announcements.from_plain(plain), name)
+            reports = announcements.from_plain(plain)
+            self.on_announcements(reports, check_text(name, "host"))
         elif kind == PERMIT_REQUEST:
             request = from_fields(PermitRequest, message[1:])
             report, *_ = announcements.from_plain(request.report)
@@ -351,15 +360,12 @@
             self.on_crash_news(from_fields(CrashNews, message[1:]))
         elif kind == CRASH_REQUEST:
             _, address, *_ = message
-            self.on_crash_request(address)
+            self.on_crash_request(check_text(address, "address"))
         elif kind == TOKEN_REQUEST:
-            _, address, number, account, wanted, *_ = message
-            self.on_token_request(
-                TokenRequest(address, number, account, wanted)
-            )
+            request = from_fields(TokenRequest, message[1:])
+            self.on_token_request(request)
         elif kind == TOKENS:
-            _, number, tokens, wait_s, life_s, *_ = message
-            self.on_tokens(Tokens(number, tokens, wait_s, life_s))
+            self.on_tokens(from_fields(Tokens, message[1:]))
         elif kind == LOADS:
             _, loads, objects, *_ = message
             self.on_loads(loads, objects)
--- a/packages/gateway/sardinewheel_gateway/http_client.py
+++ b/packages/gateway/sardinewheel_gateway/http_client.py
@@ -4,6 +4,7 @@
 users can decide on a retry.
 """
 
+import re
 import socket as std_socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.errors import NotSentError, ResponseLostError
 from sardinewheel_gateway.messages import Headers, header_value
+from sardinewheel_gateway.policy.values import split_address
 
 READ_BLOCK_BYTES = 64 * 1024
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
@@ -29,6 +31,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0
 SHORT_KEEP_ALIVE_S = 0.4
 MAX_IDLE_PER_ADDRESS = 32
+KEEP_ALIVE_FORMAT = re.compile(rb"[0-9]{1,6}")
 
 
 class OutgoingRequest(NamedTuple):
@@ -142,12 +145,15 @@
 def connect(address: str, *, timeout_s: float) -> socket.socket:
     """Opens a TCP connection.
 
+    Args:
+        address: ``host:port`` with an IPv4 address, as names are not looked up.
+        timeout_s: Seconds after which the attempt fails.
+
     Raises:
         NotSentError: The connection failed or timed out.
     """
-    host, _, port = address.rpartition(":")
     try:
-        sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+        sock = _connect(split_address(address), timeout_s)
     except (OSError, ValueError) as error:
         raise NotSentError(str(error) or repr(error)) from error
     sock.settimeout(None)
@@ -158,6 +164,18 @@
     return sock
 
 
+def _connect(address: tuple[str, int], timeout_s: float) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.settimeout(timeout_s)
+    try:
+        sock.connect(address)
+    except BaseException:
+        # Also if a timeout of the request interrupts it.
+        sock.close()
+        raise
+    return sock
+
+
 def _has_no_pending_data(sock: socket.socket) -> bool:
     """Returns whether an idle socket has neither data nor EOF to read."""
     sock.settimeout(0.0)
@@ -393,7 +411,7 @@
     """
     for part in (value or b"").split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
+        if name.lower() == b"timeout" and KEEP_ALIVE_FORMAT.fullmatch(number):
             seconds = int(number) - KEEP_ALIVE_MARGIN_S
             return max(SHORT_KEEP_ALIVE_S, seconds)
     return DEFAULT_KEEP_ALIVE_S
--- a/packages/gateway/sardinewheel_gateway/peer_messages.py
+++ b/packages/gateway/sardinewheel_gateway/peer_messages.py
@@ -5,9 +5,11 @@
 response to the caller.
 """
 
+import re
 from typing import NamedTuple
 
 from sardinewheel_gateway.messages import Headers, RequestHead, header_value
+from sardinewheel_gateway.policy.values import MAX_SECONDS, check_number
 
 PREFIX = b"sardinewheel-peer-"
 SENDER = PREFIX + b"sender"
@@ -19,6 +21,7 @@
 RETRY_AFTER = b"retry-after"
 MS_PER_S = 1000.0
 SEPARATOR = ","
+INTEGER_FORMAT = re.compile(r"[0-9]{1,18}")
 
 
 class Origin(NamedTuple):
@@ -75,8 +78,8 @@
     tried = _text(head.headers, TRIED)
     origin = Origin(
         host=_text(head.headers, SENDER),
-        age_s=int(_text(head.headers, AGE_MS)) / MS_PER_S,
-        version=int(_text(head.headers, VERSION)),
+        age_s=_integer(head.headers, AGE_MS) / MS_PER_S,
+        version=_integer(head.headers, VERSION),
         tried=tuple(tried.split(SEPARATOR)) if tried else (),
     )
     restored = head._replace(
@@ -110,7 +113,11 @@
         raise ValueError("the response of the other host has no outcome")
     retry_after_s = 0.0
     if target is None:
-        retry_after_s = float(header_value(headers, RETRY_AFTER) or 0.0)
+        retry_after_s = check_number(
+            float(header_value(headers, RETRY_AFTER) or 0.0),
+            "retry-after",
+            maximum=MAX_SECONDS,
+        )
     outcome = PeerOutcome(
         target_id=(target or b"").decode("latin-1"),
         reason=(reason or b"").decode("latin-1"),
@@ -123,6 +130,13 @@
     return [(k, v) for k, v in headers if not k.startswith(PREFIX)]
 
 
+def _integer(headers: Headers, name: bytes) -> int:
+    text = _text(headers, name)
+    if not INTEGER_FORMAT.fullmatch(text):
+        raise ValueError(f"header {name.decode()} is no integer: {text:.80}")
+    return int(text)
+
+
 def _text(headers: Headers, name: bytes) -> str:
     value = header_value(headers, name)
     if value is None:
--- a/packages/gateway/sardinewheel_gateway/policy/accounts.py
+++ b/packages/gateway/sardinewheel_gateway/policy/accounts.py
@@ -8,6 +8,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.values import (
+    check_integer,
+    check_number,
+    check_text,
+)
+
 KEY_DIGEST_BYTES = 16
 
 
@@ -38,6 +44,21 @@
         return self.rate_per_s > 0.0
 
 
+def check_account(account: Account) -> None:
+    """Checks that the values of an account can be used in all later steps.
+
+    Raises:
+        ValueError: A value is of another type, or out of its range.
+    """
+    check_text(account.name, "name of an account")
+    if account.priority is not None:
+        check_integer(account.priority, "priority")
+    check_number(account.rate_per_s, f"rate of account {account.name!r}")
+    check_number(account.burst, f"burst of account {account.name!r}")
+    for region in account.home_regions:
+        check_text(region, "home region")
+
+
 class AccountTable:
     """Finds accounts by key digest and by name.
 
--- a/packages/gateway/sardinewheel_gateway/policy/membership.py
+++ b/packages/gateway/sardinewheel_gateway/policy/membership.py
@@ -32,6 +32,7 @@
     StoreAccess,
 )
 from sardinewheel_gateway.policy.updates import Positions
+from sardinewheel_gateway.policy.values import check_number, check_text
 from sardinewheel_gateway.policy.wire import from_fields
 
 HEARTBEAT = 5
@@ -147,11 +148,13 @@
             case [kind, address, operators, targets, digest, *_] if (
                 kind == HEARTBEAT
             ):
-                positions = Positions(operators, targets)
+                positions = from_fields(Positions, [operators, targets])
+                check_text(address, "address")
                 return self._handle_digest(address, positions, digest, now)
             case [kind, states, *_] if kind == STATES:
                 return self._handle_states(states, now)
             case [kind, address, host_ids, *_] if kind == STATE_REQUEST:
+                check_text(address, "address")
                 return self._send_states(address, host_ids, now)
         raise ValueError(f"unknown message of kind {message[0]!r}")
 
@@ -240,7 +243,8 @@
         """Records full states; replies to new hosts with a digest of all."""
         discovered = []
         introduced = []
-        for age_s, plain, *_ in states:
+        for raw_age_s, plain, *_ in states:
+            age_s = check_number(raw_age_s, "age")
             state = _decode_state(plain)
             if not self.host_table.record_heartbeat(
                 state, now=now, age_s=age_s
@@ -319,6 +323,8 @@
 
 def _decode_state(plain: list) -> HostState:
     state = from_fields(HostState, plain)
+    for name in ("name", "front", "gossip", "domain", "region"):
+        check_text(getattr(state, name), name)
     return state._replace(
         positions=from_fields(Positions, state.positions),
         store=StoreAccess(state.store),
--- a/packages/gateway/sardinewheel_gateway/policy/routes.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routes.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from sardinewheel_gateway.policy.accounts import Account
+from sardinewheel_gateway.policy.accounts import Account, check_account
+from sardinewheel_gateway.policy.values import (
+    MAX_SECONDS,
+    check_integer,
+    check_number,
+    check_text,
+)
 
 
 class Share(NamedTuple):
@@ -103,6 +109,50 @@
     accounts: tuple[Account, ...] = ()
 
 
+def check_configuration(configuration: Configuration) -> Configuration:
+    """Returns a configuration whose values can be used in all later steps.
+
+    Raises:
+        ValueError: A value is of another type, or out of its range.
+    """
+    check_integer(configuration.version, "version")
+    for route in configuration.routes:
+        _check_route(route)
+    for service in configuration.services.values():
+        check_text(service.name, "name of a service")
+        check_integer(service.max_connections, "connections")
+        _check_seconds(service.cold_period_s, "cold period")
+        check_number(service.cold_rate_per_s, "cold rate")
+    limits = configuration.limits
+    check_integer(limits.max_head_bytes, "size of heads", minimum=1)
+    check_integer(limits.max_body_bytes, "size of bodies")
+    _check_seconds(limits.head_timeout_s, "timeout of heads")
+    _check_seconds(limits.idle_timeout_s, "idle timeout")
+    for account in configuration.accounts:
+        check_account(account)
+    return configuration
+
+
+def _check_route(route: Route) -> None:
+    check_text(route.name, "name of a route")
+    for value in (route.host, route.prefix, *route.home_regions):
+        check_text(value, f"text of route {route.name!r}")
+    if route.timeout_s is not None:
+        _check_seconds(route.timeout_s, "timeout")
+    _check_seconds(route.objective_s, "latency objective")
+    check_integer(route.priority, "priority")
+    check_integer(route.max_attempts, "attempts", minimum=1)
+    if not route.shares:
+        raise ValueError(f"route {route.name!r} has no service")
+    for share in route.shares:
+        check_text(share.service, "service of a route")
+        check_number(share.weight, "weight")
+
+
+def _check_seconds(value: float, name: str) -> None:
+    check_number(value, name, maximum=MAX_SECONDS)
+
+
 def common_homes(route: Route, account: Account | None) -> frozenset[str]:
     """Returns the regions that may execute an account's requests on a route.
 
--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -6,9 +6,21 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from sardinewheel_gateway.policy.values import (
+    MAX_SECONDS,
+    check_address,
+    check_identifier,
+    check_integer,
+    check_number,
+    check_text,
+)
+
 MISSING_RECORD_GRACE_S = 2.2
 MIN_EXPIRING_OUTAGE_S = 2.0
 MAX_LEAVING = 2000
+MAX_SLOTS = 100_000
+# Milliseconds since the Unix epoch.
+MAX_STARTED_MS = 2**53
 
 
 class TargetRecord(NamedTuple):
@@ -37,6 +49,30 @@
     cold_left_s: float
 
 
+def check_record(record: TargetRecord) -> TargetRecord:
+    """Returns a record whose values can be used in all later steps.
+
+    Raises:
+        ValueError: A value is of another type, or out of its range.
+    """
+    return TargetRecord(
+        target_id=check_identifier(record.target_id, "id"),
+        started_ms=check_integer(
+            record.started_ms, "start", maximum=MAX_STARTED_MS
+        ),
+        service=check_text(record.service, "service"),
+        address=check_address(record.address, "address"),
+        domain=check_text(record.domain, "domain"),
+        slots=check_integer(
+            record.slots, "slots", minimum=1, maximum=MAX_SLOTS
+        ),
+        is_draining=bool(record.is_draining),
+        cold_left_s=check_number(
+            record.cold_left_s, "cold period", maximum=MAX_SECONDS
+        ),
+    )
+
+
 class Target:
     """A target and its state.
 
--- a/packages/gateway/sardinewheel_gateway/policy/updates.py
+++ b/packages/gateway/sardinewheel_gateway/policy/updates.py
@@ -14,8 +14,10 @@
     Route,
     Service,
     Share,
+    check_configuration,
 )
-from sardinewheel_gateway.policy.targets import TargetRecord
+from sardinewheel_gateway.policy.targets import TargetRecord, check_record
+from sardinewheel_gateway.policy.values import check_identifier, check_text
 from sardinewheel_gateway.policy.wire import from_fields
 
 NO_POSITION = -1
@@ -176,22 +178,24 @@
     if plain is None:
         return None
     update = from_fields(OperatorsUpdate, plain)
+    evacuated = (check_text(x, "domain") for x in update.evacuated)
     if update.configuration is not None:
         typed = _configuration(update.configuration)
         update = update._replace(configuration=typed)
-    return update._replace(evacuated=frozenset(update.evacuated))
+    return update._replace(evacuated=frozenset(evacuated))
 
 
 def _configuration(plain: list[Any]) -> Configuration:
     version, routes, services, limits, *more = plain
     typed = [from_fields(Service, service) for service in services]
-    return Configuration(
+    configuration = Configuration(
         version,
         tuple(_route(route) for route in routes),
         {service.name: service for service in typed},
         from_fields(Limits, limits),
         tuple(_account(account) for account in (more[0] if more else ())),
     )
+    return check_configuration(configuration)
 
 
 def _account(plain: list[Any]) -> Account:
@@ -214,12 +218,17 @@
     if plain is None:
         return None
     update = from_fields(TargetsUpdate, plain)
-    changes = tuple(_change(change) for change in update.changes)
-    return update._replace(changes=changes)
+    changes = (_change(change) for change in update.changes)
+    return update._replace(changes=tuple(x for x in changes if x is not None))
 
 
-def _change(plain: list[Any]) -> RecordChange:
-    change = from_fields(RecordChange, plain)
+def _change(plain: list[Any]) -> RecordChange | None:
+    """Returns a change; None if it names no target."""
+    try:
+        change = from_fields(RecordChange, plain)
+        check_identifier(change.target_id, "id")
+    except ValueError:
+        return None
     if change.record is None:
         return change
     return change._replace(record=_record(change.record))
@@ -231,6 +240,6 @@
     The other changes of the update would otherwise be lost with it.
     """
     try:
-        return from_fields(TargetRecord, plain)
+        return check_record(from_fields(TargetRecord, plain))
     except ValueError:
         return None
--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -22,6 +22,7 @@
     from_plain,
     to_plain,
 )
+from sardinewheel_gateway.policy.wire import decode_cbor
 
 UPDATE_PATH = b"/v1/update"
 CALL_TIMEOUT_S = 1.5
@@ -108,12 +109,7 @@
         peer = self.rng.choice(ahead)
         try:
             update = self._request_update(peer)
-        except (
-            NotSentError,
-            ResponseLostError,
-            ValueError,
-            cbor2.CBORDecodeError,
-        ) as error:
+        except (NotSentError, ResponseLostError, ValueError) as error:
             self.log.warning("update-not-received", peer=peer.name, error=error)
             return
         self.apply_update(update, peer.name)
@@ -208,7 +204,7 @@
                 exchange.close()
         if response.status != OK:
             raise ResponseLostError(f"status {response.status}")
-        return from_plain(cbor2.loads(body))
+        return from_plain(decode_cbor(body))
 
 
 def is_ahead(theirs: Positions, own: Positions) -> bool:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -135,8 +135,8 @@
                     return
                 data += received
             head, _, data = data.partition(b"\r\n\r\n")
-            self.heads.append(head.decode())
-            data = self.script(sock, head.decode(), data) or b""
+            self.heads.append(head.decode("latin-1"))
+            data = self.script(sock, head.decode("latin-1"), data) or b""
 
 
 def request_id(head: str) -> str:
--- a/tests/gateway/policy/test_wire.py
+++ b/tests/gateway/policy/test_wire.py
@@ -1,9 +1,13 @@
 """What a later build appends is left out, and the rest is read."""
 
+import contextlib
+import math
 import random
 
 import cbor2
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_gateway.policy import announcements, crash_news, membership
 from sardinewheel_gateway.policy.accounts import Account, key_digest
 from sardinewheel_gateway.policy.announcements import Report
@@ -12,12 +16,13 @@
 from sardinewheel_gateway.policy.hosts import HostTable, StoreAccess
 from sardinewheel_gateway.policy.membership import MembershipProtocol
 from sardinewheel_gateway.policy.routes import Share
-from sardinewheel_gateway.policy.targets import TargetRecord
+from sardinewheel_gateway.policy.targets import TargetRecord, check_record
 from sardinewheel_gateway.policy.updates import from_plain, to_plain
-from sardinewheel_gateway.policy.wire import from_fields
+from sardinewheel_gateway.policy.wire import decode_cbor, from_fields
 
 from tests.gateway.policy.test_hosts import state
 from tests.gateway.policy.test_updates import UPDATE
+from tests.gateway.policy.test_values import ANY_VALUE
 
 LATER = "field of a later build"
 ACCOUNT = Account("cafe", (key_digest("k1"),), home_regions=frozenset("n"))
@@ -132,3 +137,74 @@
 def test_a_missing_field_without_default_is_named():
     with pytest.raises(ValueError, match="TargetRecord has 1 fields"):
         from_fields(TargetRecord, ["t1"])
+
+
+WRONG_FIELDS = st.sampled_from(
+    [None, True, -1, 10**30, float("nan"), float("inf"), "\n", b"x", [], {}, 7]
+)
+
+
+def replace_one(draw, plain):
+    """Returns a copy of nested lists in which one value is another one."""
+    copy = cbor2.loads(cbor2.dumps(plain))
+    fields = copy
+    while True:
+        index = draw(st.integers(0, len(fields) - 1))
+        inner = fields[index]
+        if isinstance(inner, list) and inner and draw(st.integers(0, 3)):
+            fields = inner
+            continue
+        fields[index] = draw(WRONG_FIELDS | ANY_VALUE)
+        return copy
+
+
+@given(st.data())
+def test_an_update_with_any_value_can_be_passed_on_or_is_refused(data):
+    plain = replace_one(data.draw, plain_update())
+    try:
+        update = from_plain(plain)
+    except ValueError:
+        return
+    assert from_plain(cbor2.loads(cbor2.dumps(to_plain(update)))) == update
+    changes = () if update.targets is None else update.targets.changes
+    for record in (x.record for x in changes if x.record is not None):
+        assert check_record(record) == record
+
+
+@given(ANY_VALUE)
+def test_any_value_is_an_update_or_refused(plain):
+    with contextlib.suppress(ValueError):
+        from_plain(plain)
+
+
+@given(st.binary() | st.none() | st.integers())
+def test_any_bytes_are_decoded_or_refused(data):
+    with contextlib.suppress(ValueError):
+        decode_cbor(data)
+
+
+# Tags for a date, a shared value and a regular expression.
+@pytest.mark.parametrize(
+    "text", ["c11b7fffffffffffffff", "d81d187f", "d8236128"]
+)
+def test_tags_that_can_not_be_read_are_refused(text):
+    with pytest.raises(ValueError, match="not decodable"):
+        decode_cbor(bytes.fromhex(text))
+
+
+@given(st.data())
+def test_a_heartbeat_with_any_value_leaves_numbers_in_the_state(data):
+    sender, receiver = protocol(), protocol()
+    sender.host_table.own = state("b")
+    receiver.host_table.record_heartbeat(state("b"), now=0.0)
+    (introduction,) = sender._introduce(["a:81"])
+    (heartbeat, *_) = sender._send_digest([state("a")], [])
+    message = cbor2.loads(
+        data.draw(st.sampled_from([introduction, heartbeat])).data
+    )
+    with contextlib.suppress(ValueError, TypeError, LookupError):
+        receiver.handle(replace_one(data.draw, message), now=1.0)
+    for peer in receiver.host_table.peers.values():
+        assert all(type(x) is int for x in peer.state.positions)
+        assert math.isfinite(peer.last_heartbeat_at)
+    assert cbor2.dumps([list(x) for x in receiver.host_table.live(now=1.0)])
--- a/tests/gateway/test_crash_exchange.py
+++ b/tests/gateway/test_crash_exchange.py
@@ -128,11 +128,7 @@
         hosts[1].gossip.send_crash_news(
             message, [host.gossip.host_table.own.gossip]
         )
-    wait_until(
-        lambda: (
-            sum("datagram-unreadable" in x for x in host.gossip.log.lines) == 3
-        )
-    )
+    wait_until(lambda: host.gossip.log.events["datagram-unreadable"] == 3)
     assert not host.suspects.refused
 
 
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,16 +1,23 @@
 """Host discovery and state exchange by datagrams."""
 
+import contextlib
+
+import cbor2
 import gevent
 import pytest
 from gevent import socket
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.policy.hosts import HostTable, StoreAccess
 from sardinewheel_gateway.policy.updates import Positions
+from sardinewheel_gateway.policy.values import split_address
 
 from tests.gateway.harness import wait_until
 from tests.gateway.policy.test_hosts import state
+from tests.gateway.policy.test_values import ANY_VALUE
 
 
 def free_ports(count):
@@ -34,7 +41,7 @@
             address,
             HostTable(state(name, gossip=address)),
             addresses[:seed_count],
-            Log(host=name),
+            Log(host=name, level="debug"),
         )
         for name, address in zip(names, addresses, strict=True)
     ]
@@ -142,3 +149,49 @@
     hosts[1].start()
     wait_until(lambda: "b" in hosts[0].host_table.peers, 0.5)
     sender.close()
+
+
+ODD_DATAGRAMS = [
+    b"",
+    b"\xff",
+    b"\x81" * 2000,
+    bytes.fromhex("c11b7fffffffffffffff"),
+    cbor2.dumps([]),
+    cbor2.dumps({}),
+    cbor2.dumps([[1]]),
+    *(cbor2.dumps([kind, 10**400, float("nan"), "x"]) for kind in range(18)),
+]
+
+
+def test_datagrams_that_can_not_be_read_do_not_delay_the_next_one(hosts):
+    receiver, sender, _ = hosts
+    receiver.start()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    address = split_address(receiver.host_table.own.gossip)
+    for data in ODD_DATAGRAMS:
+        sock.sendto(data, address)
+    sender.start()
+    wait_until(lambda: "b" in receiver.host_table.peers, 0.5)
+    assert receiver.log.events["task-failed"] == 0
+    lines = [x for x in receiver.log.lines if "datagram-unreadable" in x]
+    assert 0 < len(lines) < len(ODD_DATAGRAMS) / 2
+
+
+@given(st.integers(0, 17), st.lists(ANY_VALUE))
+def test_any_message_leaves_the_state_of_hosts_usable(kind, fields):
+    (gossip,) = gossips("a", seed_count=0)
+    gossip._send = lambda *_: None
+    # ``_listen`` counts it.
+    with contextlib.suppress(Exception):
+        gossip._handle_datagram([kind, *fields])
+    gossip.protocol.tick(now=clock.steady())
+    gossip.stop()
+
+
+@pytest.mark.parametrize(
+    "address", ["a.example:80", "10.0.0.1:99999", "\ud800"]
+)
+def test_an_address_that_needs_a_lookup_gets_no_datagram(hosts, address):
+    hosts[0]._send(address, b"x")
+    (line,) = hosts[0].log.lines
+    assert "datagram-not-sent" in line
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -1,14 +1,17 @@
-"""Bounds on what a server may send that is no end of a response."""
+"""What a server may send instead of a response, and without an end."""
 
 import gevent
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_gateway.errors import ResponseLostError
 from sardinewheel_gateway.http_client import (
     MAX_HEAD_BYTES,
     ClientExchange,
     OutgoingRequest,
+    keep_alive_s,
 )
 
 BLOCK = 16 * 1024
@@ -159,3 +162,117 @@
     response = exchange.run(OUTGOING)
     received = len(response.body) + sum(len(part) for part in response.rest)
     assert received == MAX_BODY_BYTES
+
+
+class ScriptedSocket:
+    """A socket that receives the given data, and then is closed or reset."""
+
+    def __init__(self, *parts, is_reset=False):
+        self.parts = list(parts)
+        self.is_reset = is_reset
+
+    def sendall(self, _data):
+        pass
+
+    def recv(self, _size):
+        if self.parts:
+            return self.parts.pop(0)
+        if self.is_reset:
+            raise ConnectionResetError
+        return b""
+
+
+def is_own(headers):
+    return (b"x-id", b"7") in headers
+
+
+def exchange_on(sock):
+    return ClientExchange(sock, is_own, max_body_bytes=MAX_BODY_BYTES)
+
+
+OWN = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\ndone"
+HEAD_BYTES = OWN.index(b"done")
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("size", range(len(OWN)))
+def test_a_response_cut_at_any_byte_is_never_complete(size, is_reset):
+    exchange = exchange_on(ScriptedSocket(OWN[:size], is_reset=is_reset))
+    with pytest.raises(ResponseLostError):
+        exchange.run(OUTGOING)
+    assert not exchange.is_reusable
+
+
+@pytest.mark.parametrize("size", range(HEAD_BYTES))
+def test_a_head_without_length_cut_at_any_byte_is_never_complete(size):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n"[:-1]
+    exchange = exchange_on(ScriptedSocket(head[:size]))
+    with pytest.raises(ResponseLostError):
+        exchange.run(OUTGOING)
+
+
+EARLIER_REFUSALS = {
+    "with its id": b"HTTP/1.1 503 Busy\r\nX-Id: 6\r\nX-Not-Run: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    "without id": b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", EARLIER_REFUSALS)
+@pytest.mark.parametrize("is_split", [True, False])
+def test_an_earlier_refusal_on_the_connection_is_not_the_response(
+    kind, is_split
+):
+    parts = (EARLIER_REFUSALS[kind], OWN)
+    sock = ScriptedSocket(*(parts if is_split else [b"".join(parts)]))
+    assert exchange_on(sock).run(OUTGOING).body == b"done"
+
+
+@pytest.mark.parametrize("kind", EARLIER_REFUSALS)
+def test_an_earlier_refusal_alone_leaves_open_whether_the_request_ran(kind):
+    exchange = exchange_on(ScriptedSocket(EARLIER_REFUSALS[kind]))
+    with pytest.raises(ResponseLostError):
+        exchange.run(OUTGOING)
+
+
+PIECES = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 100 \r\n\r\n",
+        b"HTTP/1.1 099 X\r\n",
+        b"HTTP/1.1 204 \r\n",
+        b"X-Id: 7\r\n",
+        b"X-Id: \r\n",
+        b"Content-Length: 4\r\n",
+        b"Content-Length: 99999999999999999999\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Keep-Alive: timeout=" + b"9" * 5000 + b"\r\n",
+        b"Connection: close\r\n",
+        b"\r\n",
+        b"4\r\ndone\r\n",
+        b"0\r\n\r\n",
+        b"done",
+        b"\xed\xa0\x80",
+        OWN,
+        EARLIER_REFUSALS["without id"],
+    ]
+)
+
+
+@given(st.lists(st.one_of(PIECES, st.binary(min_size=1))), st.booleans())
+def test_any_bytes_end_as_a_response_of_the_request_or_as_lost(parts, is_reset):
+    exchange = exchange_on(ScriptedSocket(*parts, is_reset=is_reset))
+    try:
+        response = exchange.run(OUTGOING)
+        for _ in response.rest or ():
+            pass
+    except ResponseLostError:
+        assert not exchange.is_reusable
+    else:
+        assert is_own(response.headers)
+
+
+@given(st.binary())
+def test_any_keep_alive_gives_a_time(value):
+    assert 0.0 < keep_alive_s(b"timeout=" + value) < 10**6
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -2,6 +2,8 @@
 
 import gevent
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.gateway.harness import (
     CLOSE,
@@ -21,6 +23,13 @@
     created.close()
 
 
+@pytest.fixture(scope="module")
+def shared_harness():
+    created = GatewayHarness(sends_complete_response)
+    yield created
+    created.close()
+
+
 def test_pipelined_requests_run_concurrently_and_are_answered_in_order():
     running = []
 
@@ -211,3 +220,59 @@
         b"Connection: close\r\n\r\n"
     )
     assert read_all(sock).startswith(b"HTTP/1.1 404 ")
+
+
+REQUEST_PIECES = st.sampled_from(
+    [
+        b"GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\n",
+        b"POST http://shop.example/orders/1 HTTP/1.1\r\nHost: x\r\n",
+        b"GET * HTTP/1.0\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: " + b"9" * 20 + b"\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Expect: 100-continue\r\n",
+        b"X-Id: \xed\xa0\x80\r\n",
+        b"\r\n",
+        b"3\r\nabc\r\n",
+        b"ffffffffffffffffffff\r\n",
+        b"0\r\n\r\n",
+        b"abc",
+    ]
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.one_of(REQUEST_PIECES, st.binary(min_size=1))))
+def test_any_bytes_of_a_caller_leave_the_server_working(shared_harness, pieces):
+    sock = shared_harness.connect()
+    sock.sendall(b"".join(pieces))
+    sock.shutdown(gevent.socket.SHUT_WR)
+    sock.close()
+    wait_until(lambda: not shared_harness.front.connections)
+    assert shared_harness.log.events["handler-failed"] == 0
+    shared_harness.log.lines.clear()
+    response = shared_harness.send_request()
+    assert response.startswith(b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        "Host: SHOP.example:8144",
+        "X-Other: \u00e9\u00ff",
+        "X-Other: " + "a" * 3000,
+        "X-Other:  spaced  ",
+        "X-Other:",
+        "Cookie: " + "b=c; " * 100,
+    ],
+)
+def test_a_proper_request_in_small_pieces_is_served(harness, header):
+    lines = ["GET /orders/1 HTTP/1.1", header, "X-Id: id-1", "X-Object: o1"]
+    if not header.startswith("Host"):
+        lines.insert(1, "Host: shop.example")
+    data = "\r\n".join([*lines, "Connection: close", "", ""]).encode("latin-1")
+    sock = harness.connect()
+    for start in range(0, len(data), 97):
+        sock.sendall(data[start : start + 97])
+        gevent.sleep(0)
+    assert read_all(sock).startswith(b"HTTP/1.1 200 OK")
--- a/tests/gateway/test_operations_page.py
+++ b/tests/gateway/test_operations_page.py
@@ -9,8 +9,10 @@
     *(ROOT / "platform/sardinewheel_platform").rglob("*.py"),
 ]
 CALL = re.compile(
-    r"log\.(?P<level>debug|info|warning|error)\(\s*f?\"(?P<event>[a-z-]+)\""
+    r"log\.(?P<level>debug|info|warn_once|warning|error_once|error)"
+    r"\(\s*f?\"(?P<event>[a-z-]+)\""
 )
+LEVELS = {"warn_once": "warning", "error_once": "error"}
 ROW = re.compile(r"^\| `(?P<event>[a-z-]+)` \| (?P<level>\w+) \|", re.M)
 # Events logged through a variable or by the log module itself.
 INDIRECT = {
@@ -35,7 +37,8 @@
     for source in SOURCES:
         for match in CALL.finditer(source.read_text()):
             if not match["event"].endswith("-"):
-                found[match["event"]] = match["level"]
+                level = match["level"]
+                found[match["event"]] = LEVELS.get(level, level)
     return found
 
 
--- a/tests/platform/announced_gateway.py
+++ b/tests/platform/announced_gateway.py
@@ -22,15 +22,15 @@
 
 def use_target_relays(relay_ip, store):
     """Connects to targets through the relays at ``relay_ip``."""
-    connect = socket.create_connection
+    connect = socket.socket.connect
 
-    def create_connection(address, *args, **kwargs):
+    def connect_through_relay(sock, address):
         host, port = address
         if host == TARGET_IP and f"{host}:{port}" != store:
             address = (relay_ip, port)
-        return connect(address, *args, **kwargs)
+        return connect(sock, address)
 
-    socket.create_connection = create_connection
+    socket.socket.connect = connect_through_relay
 
 
 def main():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,9 +1,13 @@
 """Tests of parsing and building the platform's headers."""
 
 import json
+import math
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_gateway.policy.accounts import key_digest
+from sardinewheel_gateway.policy.values import MAX_SECONDS, check_identifier
 from sardinewheel_platform.headers import HttpPlatformAdapter
 
 ADAPTER = HttpPlatformAdapter()
@@ -28,6 +32,58 @@
     assert ADAPTER.caller(headers).remaining_s is None
 
 
+@pytest.mark.parametrize("text", [b"inf", b"1e400", b"9" * 400])
+def test_an_endless_remaining_time_is_bounded(text):
+    headers = [(b"sardinewheel-time-remaining", text)]
+    assert ADAPTER.caller(headers).remaining_s == MAX_SECONDS
+
+
+@pytest.mark.parametrize("text", [b"nan", b"-1", b"0"])
+def test_a_remaining_time_without_time_is_zero(text):
+    headers = [(b"sardinewheel-time-remaining", text)]
+    assert ADAPTER.caller(headers).remaining_s == 0.0
+
+
+@pytest.mark.parametrize(
+    "key", [b"a" * 5000, b"\xed\xa0\x80", b"a\tb", b"\x80"]
+)
+def test_an_odd_object_key_stands_for_the_same_object_each_time(key):
+    headers = [(b"cookie", b"Sardinewheel-Affinity-Key=" + key)]
+    found = ADAPTER.caller(headers).object_key
+    assert found == ADAPTER.caller(headers).object_key
+    assert check_identifier(found, "key")
+
+
+NAMES = st.sampled_from(
+    [
+        ATTEMPT_ID,
+        b"cookie",
+        b"authorization",
+        b"retry-after",
+        b"server-limit",
+        b"server-leaving",
+        b"sardinewheel-server-load",
+        b"sardinewheel-not-executed",
+        b"sardinewheel-time-remaining",
+    ]
+)
+
+
+@given(st.integers(100, 999), st.lists(st.tuples(NAMES, st.binary())))
+def test_any_headers_are_read(status, headers):
+    caller = ADAPTER.caller(headers)
+    assert caller.remaining_s is None or caller.remaining_s <= MAX_SECONDS
+    info = ADAPTER.response_info(status, headers)
+    assert math.isfinite(info.pause_s)
+    assert info.load is None or math.isfinite(sum(info.load))
+    ADAPTER.is_response_to(headers, caller.request_id)
+
+
+@given(st.binary())
+def test_any_path_is_a_lookup_or_none(path):
+    ADAPTER.lookup(b"/resolution?" + path)
+
+
 def test_remaining_time_and_target_replace_the_callers_headers():
     headers = ADAPTER.target_request_headers(
         [
@@ -97,6 +153,9 @@
         (b"3,0,8,250,1", None),
         (b"a,b,c", None),
         (b"3,0,8,x", None),
+        (b"9" * 5000 + b",0,8", None),
+        (b"3,0,9999999", None),
+        (b"\xb2,0,8", None),
     ],
 )
 def test_reported_load_is_decoded(text, load):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,11 +1,27 @@
 """Tests of parsing the rows of the store."""
 
+import contextlib
 import json
 
+import cbor2
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_gateway.policy.accounts import key_digest
+from sardinewheel_gateway.policy.targets import TargetRecord, check_record
+from sardinewheel_gateway.policy.updates import (
+    OperatorsUpdate,
+    Update,
+    from_plain,
+    to_plain,
+)
+from sardinewheel_gateway.policy.wire import from_fields
 from sardinewheel_platform import records
 
+from tests.gateway.policy.test_values import ANY_VALUE
+
+MAX_MESSAGE_CHARS = 500
+
 TARGET = {
     "Service": "orders",
     "Address": "10.0.0.9:8080",
@@ -90,6 +106,30 @@
         {"ColdLeft": "soon"},
         {"born": "today"},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 10**30},
+        {"Service": "\ud800"},
+        {"Service": "a\nb"},
+        {"Service": "a" * 5000},
+        {"Zone": "\ud800"},
+        {"Zone": ""},
+        {"Address": "\ud800:80"},
+        {"Address": "a..example:80"},
+        {"Address": "10.0.0.9:99999"},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "0.0.0.0:80"},
+        {"Slots": 10**400},
+        {"Slots": 1e400},
+        {"Slots": 3.0},
+        {"ColdLeft": "infs"},
+        {"ColdLeft": "nans"},
+        {"ColdLeft": "-1ms"},
+        {"ColdLeft": "1e300s"},
+        {"OperState": []},
+        {"CfgVersion": 7},
+        {"CfgVersion": None},
+        {"Sequence": "4"},
+        {"Sequence": None},
     ],
 )
 def test_invalid_field_is_rejected(change):
@@ -98,21 +138,115 @@
         records.parse_target("t1", value)
 
 
-@pytest.mark.parametrize(
-    "name", [k for k in TARGET if k not in ("CfgVersion", "Sequence", "born")]
-)
+@pytest.mark.parametrize("name", [k for k in TARGET if k != "born"])
 def test_missing_field_is_rejected(name):
     document = {k: v for k, v in TARGET.items() if k != name}
     with pytest.raises(records.RecordError):
         records.parse_target("t1", json.dumps(document).encode())
 
 
-@pytest.mark.parametrize("value", [b"\xff\xfe", b"", b"[]", b"7", b"{}"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"",
+        b"[]",
+        b"7",
+        b"{}",
+        b"[" * 60_000,
+        b'{"Slots":' * 6_000,
+        b"1" * 5_000,
+        b"NaN",
+        b"null",
+    ],
+)
 def test_invalid_target_document_is_rejected(value):
     with pytest.raises(records.RecordError):
         records.parse_target("t1", value)
 
 
+@pytest.mark.parametrize(
+    "target_id", ["", "\ud800", "a,b", "a\r\nb", "a" * 201]
+)
+def test_an_id_that_can_not_be_sent_in_a_header_is_rejected(target_id):
+    with pytest.raises(records.RecordError) as caught:
+        records.parse_target(target_id, json.dumps(TARGET).encode())
+    assert len(str(caught.value)) < MAX_MESSAGE_CHARS
+
+
+@given(st.sampled_from(sorted(TARGET)), ANY_VALUE)
+def test_a_target_with_any_value_can_be_passed_on_or_is_rejected(name, value):
+    data = json.dumps(TARGET | {name: value}, default=str).encode()
+    try:
+        record = records.parse_target("t1", data)
+    except records.RecordError as error:
+        assert len(str(error)) < MAX_MESSAGE_CHARS
+        return
+    plain = cbor2.loads(cbor2.dumps(list(record)))
+    assert check_record(from_fields(TargetRecord, plain)) == record
+
+
+@given(
+    st.binary() | ANY_VALUE.map(lambda x: json.dumps(x, default=str).encode())
+)
+def test_any_bytes_are_a_record_a_configuration_or_rejected(value):
+    for parse in (
+        records.parse_configuration,
+        lambda data: records.parse_target("t1", data),
+    ):
+        with contextlib.suppress(records.RecordError):
+            parse(value)
+
+
+def replaced(fields, path, value):
+    """Returns a copy of a document with another value at a path."""
+    copy = json.loads(json.dumps(fields))
+    inner = copy
+    for name in path[:-1]:
+        inner = inner[name]
+    inner[path[-1]] = value
+    return copy
+
+
+CONFIGURATION_PATHS = [
+    ("CfgVersion",),
+    ("Routes",),
+    ("Services",),
+    ("Limits",),
+    *(("Limits", name) for name in ("MaxHeaderBytes", "HeaderTimeout")),
+    *(("Services", 0, name) for name in ("Name", "ColdStart", "ColdPerS")),
+    *(("Routes", 0, name) for name in ("Name", "Host", "Prefix", "Timeout")),
+    *(("Routes", 0, name) for name in ("Priority", "MaxAttempts", "Service")),
+    *(("Routes", 1, "Split", 0, name) for name in ("Service", "Weight")),
+    ("Routes", 0, "HomeRegions"),
+]
+
+
+@given(st.sampled_from(CONFIGURATION_PATHS), ANY_VALUE)
+def test_a_configuration_with_any_value_can_be_passed_on_or_is_rejected(
+    path, value
+):
+    document = replaced(CONFIGURATION, path, value) if is_json(value) else {}
+    try:
+        configuration = records.parse_configuration(
+            json.dumps(document).encode()
+        )
+    except records.RecordError as error:
+        assert len(str(error)) < MAX_MESSAGE_CHARS
+        return
+    update = Update(OperatorsUpdate(1, configuration, frozenset()))
+    plain = cbor2.loads(cbor2.dumps(to_plain(update)))
+    assert from_plain(plain) == update
+
+
+def is_json(value):
+    try:
+        json.dumps(value)
+    except TypeError:
+        return False
+    return True
+
+
 def test_configuration_is_parsed():
     value = json.dumps(CONFIGURATION).encode()
     configuration = records.parse_configuration(value)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,10 +1,14 @@
 """Tests of parsing and validating the platform's settings file."""
 
+import contextlib
 import tomllib
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from sardinewheel_platform import settings
 
+from tests.gateway.policy.test_values import ANY_VALUE
 from tests.platform.gateway_process import SETTINGS
 
 DOCUMENT = tomllib.loads(
@@ -82,3 +86,25 @@
     monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(path))
     with pytest.raises(settings.SettingsError, match=r"settings\.toml"):
         settings.load()
+
+
+def test_seeds_that_can_not_be_used_are_left_out():
+    seeds = ["10.2.0.28:8146", "\n:80", "seed.example:80", 7, "10.2.0.29:99999"]
+    parsed = settings.parse(DOCUMENT | {"Seeds": seeds})
+    assert parsed.gateway.seeds == ("10.2.0.28:7660",)
+    assert len(parsed.ignored) == 4
+
+
+@given(st.sampled_from(sorted(DOCUMENT)), ANY_VALUE)
+def test_settings_with_any_value_are_parsed_or_refused(name, value):
+    with contextlib.suppress(settings.SettingsError):
+        settings.parse(DOCUMENT | {name: value})
+
+
+@pytest.mark.parametrize("text", ["x = " + "[" * 5000, "\x00", "x = nan"])
+def test_an_odd_file_is_refused(tmp_path, monkeypatch, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    monkeypatch.setenv("SARDINEWHEEL_SETTINGS", str(path))
+    with pytest.raises(settings.SettingsError):
+        settings.load()
