Take a response without the id of the request for one of another request

An operator of a like system reports that a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. Here a refusal that echoes an earlier id was skipped already; one without id and seal was taken for the response of the next request.

The test row that took a response without any id for the request's own said the contrary and is replaced by two that are stricter.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -107,7 +107,8 @@
         ([(ATTEMPT_ID, b"9c41"), SERVER_SEAL], True),
         ([(ATTEMPT_ID, b"other"), SERVER_SEAL], False),
         ([SERVER_SEAL], False),
-        ([], True),
+        ([(b"sardinewheel-not-executed", b"1")], False),
+        ([], False),
     ],
 )
 def test_response_is_matched_by_request_id(headers, belongs_to_request):
