Bound the exponent of the back-off from a target

A target that accepts no connection doubles its back-off without end: after 1,025 failures, about 50 minutes with one entry that can't be reached, 2**failures can't become a float, and each request placed there ends with 500.

--- a/packages/gateway/sardinewheel_gateway/policy/loads.py
+++ b/packages/gateway/sardinewheel_gateway/policy/loads.py
@@ -18,6 +18,7 @@
 MAX_SLOWDOWN = 5.0
 FIRST_BACKOFF_S = 0.4
 MAX_BACKOFF_S = 3.0
+MAX_BACKOFF_DOUBLINGS = 8
 ERROR_SHARE_WEIGHT = 0.15
 
 
@@ -130,7 +131,8 @@
 
     def record_failure(self, *, now: float) -> float:
         """Records a connection failure; returns the back-off in seconds."""
-        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self.failures)
+        doublings = min(MAX_BACKOFF_DOUBLINGS, self.failures)
+        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**doublings)
         self.failures += 1
         self.retry_at = now + backoff_s
         return backoff_s
--- a/tests/gateway/policy/test_loads.py
+++ b/tests/gateway/policy/test_loads.py
@@ -3,7 +3,12 @@
 import pytest
 from sardinewheel_gateway.policy import load_news
 from sardinewheel_gateway.policy.load_news import LoadItem
-from sardinewheel_gateway.policy.loads import LoadTable, ReportedLoad
+from sardinewheel_gateway.policy.loads import (
+    MAX_BACKOFF_S,
+    LoadTable,
+    ReportedLoad,
+    TargetLoad,
+)
 
 NOW = 1000.0
 
@@ -132,3 +137,9 @@
     key = load_news.target_key("t1")
     host.table.merge(load_news.pack([LoadItem(key, NOW, 9)], NOW), now=NOW)
     assert host.table.of("t1").estimate(NOW) == 0.0
+
+
+def test_a_target_that_never_accepts_a_connection_keeps_the_longest_backoff():
+    load = TargetLoad()
+    backoffs_s = [load.record_failure(now=0.0) for _ in range(2000)]
+    assert backoffs_s[-1] == MAX_BACKOFF_S
