Send a request body that can't be buffered only once

Body hands its remainder out once and says whether it can still be sent; after a refusal of the other host the refusal is passed on, and a second sending raises. An upload whose first host could not be connected to is still whole, and now goes on to the next one.

--- a/packages/gateway/sardinewheel_gateway/attempts.py
+++ b/packages/gateway/sardinewheel_gateway/attempts.py
@@ -1,12 +1,17 @@
 """One attempt to send a request to one target, and its result."""
 
 from collections.abc import Callable, Iterator
+from itertools import chain
 from typing import NamedTuple
 
 import gevent
 
 from sardinewheel_gateway import clock, messages
-from sardinewheel_gateway.errors import NotSentError, ResponseLostError
+from sardinewheel_gateway.errors import (
+    BodyTakenError,
+    NotSentError,
+    ResponseLostError,
+)
 from sardinewheel_gateway.http_client import (
     ClientExchange,
     IncomingResponse,
@@ -36,22 +41,36 @@
 FIRST_ERROR_STATUS = 500
 
 
-class Body(NamedTuple):
-    """A request body.
+class Body:
+    """A request body, which can be sent once if it is too large to buffer.
 
     Attributes:
         start: The whole body, or the first part of a large one.
         rest: Yields the remainder of a body too large to buffer; None if
             ``start`` is the whole body.
+        was_taken: Whether the remainder was taken, to be sent.
     """
 
-    start: bytes
-    rest: Iterator[bytes] | None
+    def __init__(self, start: bytes, rest: Iterator[bytes] | None):
+        self.start = start
+        self.rest = rest
+        self.was_taken = False
+
+    @property
+    def can_be_sent(self) -> bool:
+        """Whether the whole body can be sent from now on."""
+        return self.rest is None or not self.was_taken
 
-    def parts(self) -> Iterator[bytes]:
-        """Yields the parts of the whole body."""
-        yield self.start
-        yield from self.rest or ()
+    def take_parts(self) -> Iterator[bytes]:
+        """Returns the parts of the whole body; the remainder only once.
+
+        Raises:
+            BodyTakenError: The remainder was taken before.
+        """
+        if not self.can_be_sent:
+            raise BodyTakenError("the body was sent before")
+        self.was_taken = True
+        return chain((self.start,), self.rest or ())
 
 
 class Request(NamedTuple):
@@ -137,7 +156,7 @@
     if request.body.rest is not None:
         if messages.header_value(headers, b"content-length") is None:
             headers = [*headers, (b"transfer-encoding", b"chunked")]
-        parts = request.body.parts()
+        parts = request.body.take_parts()
         return OutgoingRequest(
             head.method, head.path, headers, parts, is_chunked=True
         )
--- a/packages/gateway/sardinewheel_gateway/errors.py
+++ b/packages/gateway/sardinewheel_gateway/errors.py
@@ -13,6 +13,10 @@
     """A request body exceeds the size limit."""
 
 
+class BodyTakenError(GatewayError):
+    """A request body that can be sent only once was sent before."""
+
+
 class NotSentError(GatewayError):
     """No byte of the request was sent to the target."""
 
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -50,6 +50,7 @@
 CRASHES_TARGETS = "crashes-targets"
 PEER_FAILED = "peer-failed"
 GATEWAY_TIMEOUT = 504
+BODY_SENT = "body-sent"
 
 
 class Forwarding:
@@ -154,13 +155,7 @@
             return
         while True:
             now = clock.steady()
-            if self.tried and self._refuse_crashing():
-                return
-            if self.request.deadline - now < MIN_ATTEMPT_S:
-                self._refuse(Refused("deadline", DEFAULT_RETRY_AFTER_S))
-                return
-            if len(self.without_permit) >= MAX_PERMIT_REFUSALS:
-                self._refuse(Refused("targets-limited", DEFAULT_RETRY_AFTER_S))
+            if self._end_before_attempt(now):
                 return
             choice = self.routing_state.placer.place(
                 self._placement_request(), now
@@ -185,6 +180,21 @@
             if self.reachability.is_lost and self._end_without_targets():
                 return
 
+    def _end_before_attempt(self, now: float) -> bool:
+        """Returns whether the request ended, as no attempt is possible."""
+        if self.tried and self._refuse_crashing():
+            return True
+        if not self.request.body.can_be_sent:
+            self._end_with_sent_body()
+            return True
+        if self.request.deadline - now < MIN_ATTEMPT_S:
+            self._refuse(Refused("deadline", DEFAULT_RETRY_AFTER_S))
+            return True
+        if len(self.without_permit) >= MAX_PERMIT_REFUSALS:
+            self._refuse(Refused("targets-limited", DEFAULT_RETRY_AFTER_S))
+            return True
+        return False
+
     def _refuse_crashing(self) -> bool:
         """Ends a request that crashes its targets; returns whether it does."""
         digest = self.request.digest
@@ -301,7 +311,7 @@
     def _is_final(self, result: AttemptResult) -> bool:
         """Returns whether the result of an attempt ends the request."""
         attempts_exhausted = len(self.tried) >= self.route.max_attempts
-        can_resend = self.request.body.rest is None
+        can_resend = self.request.body.can_be_sent
         can_repeat = self.request.is_repeatable
         match result:
             case TimedOut():
@@ -347,6 +357,13 @@
             case TimedOut():
                 self.responder.fail(GATEWAY_TIMEOUT, "timeout")
 
+    def _end_with_sent_body(self) -> None:
+        """Ends a request whose body went to another host, and is gone."""
+        if self.peers.refused is not None:
+            self._refuse(self.peers.refused)
+        else:
+            self.responder.lose(BODY_SENT)
+
     def _refuse(self, refused: Refused) -> None:
         """Ends a request when no further attempt is possible."""
         match self.last_result:
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -74,7 +74,7 @@
         last = forwarding.last_result
         if last is None:
             return True
-        if request.body.rest is not None:
+        if not request.body.can_be_sent:
             return False
         if len(forwarding.tried) >= request.route.max_attempts:
             return False
@@ -158,10 +158,10 @@
     def _may_continue(self, result: PeerResult) -> bool:
         """Returns whether another host may get the request after a result."""
         request = self.forwarding.request
-        can_resend = request.body.rest is None
+        can_resend = request.body.can_be_sent
         match result:
             case NotSent():
-                return True
+                return can_resend
             case PeerRefused(reason):
                 return can_resend and reason in HOST_REASONS
         attempts = len(self.forwarding.tried)
--- a/tests/gateway/test_peer_forwarding.py
+++ b/tests/gateway/test_peer_forwarding.py
@@ -111,6 +111,54 @@
     assert data.endswith(b"\r\n\r\n" + b"y" * LARGE)
 
 
+def chunked_upload(body):
+    """Returns the bytes of a request whose body is sent in chunks."""
+    head = request("POST", extra_headers="Transfer-Encoding: chunked\r\n")
+    size = len(body) // 10
+    chunks = (body[i : i + size] for i in range(0, len(body), size))
+    framed = (b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return head + b"".join(framed) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_an_upload_that_another_host_refused_is_not_run_truncated(
+    start_peers, is_read
+):
+    def refuses_when_the_path_is_back(sock, head, rest):
+        while is_read and not rest.endswith(b"0\r\n\r\n"):
+            rest = rest[-8:] + sock.recv(65536)
+        stranded.reachability.is_lost = False
+        refuses_as("host-busy")(sock, head, b"")
+        return b""
+
+    stranded, _ = start_peers(refuses_when_the_path_is_back, timeout_s=5.0)
+    sock = stranded.connect()
+    sock.sendall(chunked_upload(b"x" * LARGE))
+    assert sock.recv(65536).startswith(b"HTTP/1.1 503 ")
+    assert stranded.request_count() == 0
+
+
+def test_an_upload_is_sent_whole_after_a_host_that_can_not_be_reached(
+    start_gateway,
+):
+    received = []
+
+    def reads_upload(sock, head, rest):
+        while not rest.endswith(b"0\r\n\r\n"):
+            rest += sock.recv(65536)
+        received.append(rest.count(b"x"))
+        return sends_complete_response(sock, head, b"")
+
+    stranded = start_gateway(reads_upload, timeout_s=5.0)
+    stranded.add_peer("127.0.0.1:9")
+    stranded.reachability.changed_at = time.monotonic()
+    stranded.forwarder.routing_state.rng.random = lambda: 1.0
+    sock = stranded.connect()
+    sock.sendall(chunked_upload(b"x" * LARGE))
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+    assert received == [LARGE]
+
+
 def test_a_truncated_response_never_looks_complete(start_pair):
     def truncates_large_response(sock, head, rest):
         sock.sendall(response_to(head, b"y" * LARGE)[:-50])
