--- a/tests/gateway/test_operations_page.py
+++ b/tests/gateway/test_operations_page.py
@@ -22,6 +22,8 @@
     "request-refused": "info",
     "request-failed": "info",
     "log-lines-omitted": "warning",
+    "target-refused": "warning",
+    "evacuation-refused": "warning",
     "target-joined": "info",
     "target-restarted": "info",
     "target-draining": "info",
