--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -109,6 +109,16 @@
         start_store(serve).read("servers")
 
 
+def test_changes_while_a_table_is_read_in_parts_are_polled_again(start_store):
+    client = start_store(
+        serves_pages(
+            page("a", has_more=True, version=5),
+            page("b", has_more=False, version=9),
+        )
+    )
+    assert client.read("servers").position == 5
+
+
 def test_rows_that_can_not_be_read_do_not_hide_the_others(start_store):
     rows = [
         {"Key": "a", "Ver": 1, "Value": "!"},
