Follow the store into a new epoch, and hold what a backup may lack

Positions hold the epoch, so a full read of a new one is applied and passed on. For 6 s, until operators and targets have written again what was lost: evacuations of before stay in force, targets that were leaving or gone are not used, and targets without a record are kept as after an outage. store-restored is logged.

What two epochs mean to claims and other rows is open: the gateway writes none.

--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -18,6 +18,9 @@
 MISSING_RECORD_GRACE_S = 2.2
 MIN_EXPIRING_OUTAGE_S = 2.0
 MAX_LEAVING = 2000
+# Time after the registry came back from a backup for which what was known of
+# targets that leave goes before its records. Targets write theirs again.
+RESTORE_HOLD_S = 6.0
 MAX_SLOTS = 100_000
 # Milliseconds since the Unix epoch.
 MAX_STARTED_MS = 2**53
@@ -126,6 +129,9 @@
         usable_cache: Revision and usable targets by service.
         leaving: Start of the process of each target that announced that it is
             leaving, by target id. Kept if its record goes and comes back.
+        held: Targets that are not used until ``held_until``, as they were
+            leaving, or gone, before the registry came back from a backup.
+        held_until: See ``held``.
     """
 
     def __init__(self):
@@ -138,6 +144,8 @@
         self.usable_cache: dict[str, tuple[int, list[Target]]] = {}
         self.cold_periods_s: dict[str, float] = {}
         self.leaving: dict[str, int] = {}
+        self.held: frozenset[tuple[str, int]] = frozenset()
+        self.held_until = float("-inf")
 
     def put(self, record: TargetRecord, *, now: float) -> TargetChange | None:
         """Adds or updates a target from its record; returns what changed."""
@@ -202,6 +210,29 @@
             self.recovered_at = now
             self.last_outage_s = away_s
 
+    def record_restore(
+        self, gone: Iterable[TargetRecord], *, now: float
+    ) -> None:
+        """Records that the registry has come back from a backup.
+
+        Its records may lack the latest changes until the targets write them
+        again: targets that leave or are gone are not used meanwhile, and those
+        without a record are kept for a while.
+
+        Args:
+            gone: Last records of targets that are gone.
+            now: Seconds of the monotonic clock.
+        """
+        known = (target.record for target in self.targets.values())
+        draining = [record for record in known if record.is_draining]
+        self.held |= {
+            (record.target_id, record.started_ms)
+            for record in (*draining, *gone)
+        }
+        self.held_until = now + RESTORE_HOLD_S
+        self.revision += 1
+        self.record_registry_recovery(away_s=MIN_EXPIRING_OUTAGE_S, now=now)
+
     def mark_leaving(self, record: TargetRecord) -> None:
         """Uses a target no more until it starts again."""
         if self._is_leaving(record):
@@ -218,6 +249,9 @@
 
     def expire(self, *, now: float) -> list[TargetChange]:
         """Removes the targets whose ``expires_at`` has passed."""
+        if self.held and now >= self.held_until:
+            self.held = frozenset()
+            self.revision += 1
         due = [
             target_id
             for target_id, target in self.targets.items()
@@ -253,6 +287,7 @@
             if target.record.service == service
             and not target.record.is_draining
             and not self._is_leaving(target.record)
+            and not self._is_held(target.record)
             and target.record.domain not in self.evacuated
         ]
         found.sort(key=lambda target: target.record.target_id)
@@ -269,6 +304,9 @@
     def _is_leaving(self, record: TargetRecord) -> bool:
         return self.leaving.get(record.target_id) == record.started_ms
 
+    def _is_held(self, record: TargetRecord) -> bool:
+        return (record.target_id, record.started_ms) in self.held
+
     def _has_no_recent_outage(self, now: float) -> bool:
         return (
             self.recovered_at is None
--- a/packages/gateway/sardinewheel_gateway/store_sync.py
+++ b/packages/gateway/sardinewheel_gateway/store_sync.py
@@ -9,12 +9,17 @@
 
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.gossip import Gossip
+from sardinewheel_gateway.policy.epochs import epoch_of
 from sardinewheel_gateway.policy.hosts import HostState, StoreAccess
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.policy.store_followers import FollowDecision
 from sardinewheel_gateway.policy.target_history import TargetHistory
-from sardinewheel_gateway.policy.targets import TargetChange, TargetTable
+from sardinewheel_gateway.policy.targets import (
+    RESTORE_HOLD_S,
+    TargetChange,
+    TargetTable,
+)
 from sardinewheel_gateway.policy.updates import (
     NO_POSITION,
     OperatorsUpdate,
@@ -46,6 +51,9 @@
             detected.
         rng: Source of the jitter of timeouts.
         unavailable_tables: Store tables that cannot be read at present.
+        evacuated: Failure domains evacuated by the latest update.
+        held_evacuations: Time until which domains stay evacuated that were so
+            before the store came back from a backup, by domain.
         on_update_applied: Called after an update was applied.
         on_target_gone: Called with the id of a target that was removed or
             restarted.
@@ -72,6 +80,8 @@
         self.target_history = TargetHistory()
         self.follow_decision = FollowDecision(gossip.host_table)
         self.unavailable_tables: set[str] = set()
+        self.evacuated: frozenset[str] = frozenset()
+        self.held_evacuations: dict[str, float] = {}
         self.relay = Relay(
             gossip,
             apply_update=self.apply_host_update,
@@ -88,11 +98,6 @@
         """Store positions up to which this host has applied updates."""
         return self.gossip.host_table.own.positions
 
-    @property
-    def evacuated(self) -> frozenset[str]:
-        """Failure domains whose targets get no requests."""
-        return self.routing_state.target_table.evacuated
-
     def apply_store_update(self, update: Update) -> None:
         """Applies an update from the store and forwards it if it is new."""
         is_new = self._is_new(update)
@@ -179,7 +184,12 @@
         )
 
     def expire(self) -> None:
-        """Removes targets whose records have been missing for too long."""
+        """Ends what has lasted for its time.
+
+        Targets whose records have been missing for too long are removed, and
+        evacuations that are only held end.
+        """
+        self._end_held_evacuations()
         expired = self.routing_state.target_table.expire(now=clock.steady())
         self._handle_target_changes(expired, "expiry")
 
@@ -267,16 +277,45 @@
             self._configure(update.configuration, source)
         if update.after < own.operators:
             return
+        if _is_restored(own.operators, update.after):
+            self._hold_evacuations(update.evacuated)
+        self.evacuated = update.evacuated
+        self.gossip.set_positions(own._replace(operators=update.after))
+        self._evacuate(source)
+
+    def _evacuate(self, source: str) -> None:
+        """Applies the evacuations of the latest update, and those held."""
+        evacuated = self.evacuated.union(self.held_evacuations)
         if self.routing_state.target_table.evacuate(
-            update.evacuated, now=clock.steady()
+            evacuated, now=clock.steady()
         ):
             self.log.info(
                 "evacuations-changed",
-                domains=",".join(sorted(update.evacuated)),
-                position=update.after,
+                domains=",".join(sorted(evacuated)),
+                position=self.positions.operators,
                 source=source,
             )
-        self.gossip.set_positions(own._replace(operators=update.after))
+
+    def _hold_evacuations(self, evacuated: frozenset[str]) -> None:
+        """Keeps evacuations that a backup of the store may lack."""
+        until = clock.steady() + RESTORE_HOLD_S
+        lacking = self.evacuated - evacuated
+        self.held_evacuations.update(dict.fromkeys(lacking, until))
+        self.log.warning(
+            "store-restored",
+            table="operators",
+            held=",".join(sorted(lacking)),
+        )
+
+    def _end_held_evacuations(self) -> None:
+        now = clock.steady()
+        ended = [
+            x for x, until in self.held_evacuations.items() if until <= now
+        ]
+        for domain in ended:
+            del self.held_evacuations[domain]
+        if ended:
+            self._evacuate("expiry")
 
     def _configure(self, configuration: Configuration, source: str) -> None:
         before = self.routing_state.version
@@ -295,6 +334,10 @@
             return
         now = clock.steady()
         target_table = self.routing_state.target_table
+        if _is_restored(self.positions.targets, update.after):
+            gone = list(self.target_history.gone.values())
+            target_table.record_restore(gone, now=now)
+            self.log.warning("store-restored", table="targets", held=len(gone))
         if update.away_s:
             self.record_registry_recovery(away_s=update.away_s)
         if update.is_snapshot:
@@ -311,6 +354,11 @@
         )
 
 
+def _is_restored(before: int, after: int) -> bool:
+    """Returns whether the store came back from a backup between positions."""
+    return before != NO_POSITION and epoch_of(after) > epoch_of(before)
+
+
 def _apply_change(
     target_table: TargetTable, change: RecordChange, now: float
 ) -> TargetChange | None:
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -6,13 +6,18 @@
 from sardinewheel_gateway import clock
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.log import Log
+from sardinewheel_gateway.policy.epochs import position_of
 from sardinewheel_gateway.policy.hosts import HostTable, StoreAccess
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.routing_state import RoutingState
-from sardinewheel_gateway.policy.targets import MISSING_RECORD_GRACE_S
+from sardinewheel_gateway.policy.targets import (
+    MISSING_RECORD_GRACE_S,
+    RESTORE_HOLD_S,
+)
 from sardinewheel_gateway.policy.updates import (
     NO_POSITION,
     OperatorsUpdate,
+    Positions,
     RecordChange,
     TargetsUpdate,
     Update,
@@ -179,3 +184,74 @@
 def test_feed_timeout_is_shorter_without_followers_in_other_regions(sync):
     timeouts = [sync.feed_timeout_s for _ in range(200)]
     assert max(timeouts) < STORE_SILENCE_TIMEOUT_S / 2
+
+
+def restored(*changes):
+    """Returns the snapshot of a store that came back from a backup."""
+    return TargetsUpdate(NO_POSITION, position_of(1, 4), changes)
+
+
+def test_evacuations_hold_while_a_restored_store_may_lack_them(
+    sync, monkeypatch
+):
+    sync.apply_store_update(
+        Update(OperatorsUpdate(12, None, frozenset({"north-a"})))
+    )
+    position = position_of(1, 3)
+    sync.apply_store_update(
+        Update(OperatorsUpdate(position, None, frozenset()))
+    )
+    assert usable(sync) == []
+    assert sync.evacuated == frozenset()
+    now = clock.steady()
+    monkeypatch.setattr(clock, "steady", lambda: now + RESTORE_HOLD_S + 0.1)
+    sync.expire()
+    assert usable(sync) == ["t1", "t2"]
+
+
+def test_evacuations_after_a_restore_count(sync):
+    sync.apply_store_update(Update(OperatorsUpdate(12, None, frozenset())))
+    for version, evacuated in ((3, frozenset()), (4, frozenset({"north-a"}))):
+        update = OperatorsUpdate(position_of(1, version), None, evacuated)
+        sync.apply_store_update(Update(update))
+    assert usable(sync) == []
+
+
+@pytest.mark.parametrize(
+    "left", [record("t1", is_draining=True), None], ids=["draining", "gone"]
+)
+def test_targets_that_left_are_not_used_while_a_restored_store_has_them(
+    sync, monkeypatch, left
+):
+    update = TargetsUpdate(10, 11, (RecordChange("t1", 11, left),))
+    sync.apply_store_update(Update(targets=update))
+    present = [
+        RecordChange(name, position_of(1, 2), record(name))
+        for name in ("t1", "t2")
+    ]
+    sync.apply_store_update(Update(targets=restored(*present)))
+    assert usable(sync) == ["t2"]
+    now = clock.steady()
+    monkeypatch.setattr(clock, "steady", lambda: now + RESTORE_HOLD_S + 0.1)
+    sync.expire()
+    assert usable(sync) == ["t1", "t2"]
+
+
+def test_targets_that_a_restored_store_lacks_are_kept_for_a_while(
+    sync, monkeypatch
+):
+    sync.apply_store_update(Update(targets=restored()))
+    assert usable(sync) == ["t1", "t2"]
+    now = clock.steady()
+    monkeypatch.setattr(
+        clock, "steady", lambda: now + MISSING_RECORD_GRACE_S + 0.1
+    )
+    sync.expire()
+    assert usable(sync) == []
+
+
+def test_a_host_of_an_earlier_epoch_gets_a_snapshot(sync):
+    sync.apply_store_update(
+        Update(targets=restored(RecordChange("t1", 7, record("t1"))))
+    )
+    assert sync.update_since(Positions(-1, 10)).targets.is_snapshot
