Refuse text that no message between entry hosts can hold

The codec now refuses it with a MessageError, as it does numbers that are not finite or too large. Two of the new tests failed before.

--- a/packages/core/sardinewheel_core/codec.py
+++ b/packages/core/sardinewheel_core/codec.py
@@ -109,9 +109,19 @@
         raise MessageError(f"{path}: got {value}, expected a finite number")
     if isinstance(value, int) and abs(value) > MAX_INTEGER:
         raise MessageError(f"{path}: expected a 64-bit integer")
+    if isinstance(value, str):
+        _check_encodable(value, path)
     return value
 
 
+def _check_encodable(text: str, path: str) -> None:
+    """Raises for text that JSON may hold but no message can."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        raise MessageError(f"{path}: got text that can't be encoded") from None
+
+
 @functools.cache
 def _field_types(cls: type) -> dict[str, Any]:
     return typing.get_type_hints(cls)
--- a/tests/core/test_codec.py
+++ b/tests/core/test_codec.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import cbor2
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -117,3 +118,15 @@
     state = STATE._replace(answers_for=(Owner("quito-1", 7),))
     assert from_plain(to_compact(state), HostState) == state
     assert from_plain(to_plain(state), HostState) == state
+
+
+@pytest.mark.parametrize("text", ["\ud800", "a\udfff"])
+def test_text_that_no_message_can_hold_raises_a_message_error(text):
+    with pytest.raises(MessageError, match="encoded"):
+        from_plain({"region": text, "cap": 40}, SetCap)
+
+
+@given(st.text(st.characters(exclude_categories=())))
+def test_decoded_text_can_be_sent_to_other_hosts(text):
+    with contextlib.suppress(MessageError):
+        cbor2.dumps(to_compact(from_plain({"region": text, "cap": 1}, SetCap)))
