--- a/packages/gateway/sardinewheel_gateway/http_server.py
+++ b/packages/gateway/sardinewheel_gateway/http_server.py
@@ -328,6 +328,8 @@
         for exchange, greenlet in list(self.greenlets.items()):
             if not exchange.is_done:
                 greenlet.kill(block=False)
+                # A handler that has not begun does not end the request itself.
+                self.server.request_ended(exchange)
         self.exchanges.clear()
         self.sock.close()
         self.server.connections.discard(self)
@@ -371,6 +373,10 @@
         """Registers a request."""
         self.in_progress.add(exchange)
 
+    def request_ended(self, exchange: Exchange) -> None:
+        """Removes a request that is no longer under way."""
+        self.in_progress.discard(exchange)
+
     def request_rejected(self, status: int, reason: str) -> None:
         """Logs an invalid request."""
         self.log.warning("request-rejected", status=status, reason=reason)
@@ -393,7 +399,7 @@
             else:
                 exchange.respond(INTERNAL_ERROR, [], b"")
         finally:
-            self.in_progress.discard(exchange)
+            self.request_ended(exchange)
 
     def _accept(self, sock, _address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -276,3 +276,12 @@
         sock.sendall(data[start : start + 97])
         gevent.sleep(0)
     assert read_all(sock).startswith(b"HTTP/1.1 200 OK")
+
+
+def test_a_request_whose_caller_left_at_once_is_not_under_way(harness):
+    for number in range(20):
+        sock = harness.connect()
+        sock.sendall(request(number=number))
+        sock.close()
+    wait_until(lambda: not harness.front.connections)
+    assert not harness.front.in_progress
