Ask another host for updates after one that sends none

A host that failed is now left out for 2 s if another one is ahead. The first new test failed before.

--- a/packages/gateway/sardinewheel_gateway/relay.py
+++ b/packages/gateway/sardinewheel_gateway/relay.py
@@ -34,6 +34,8 @@
 MAX_LAG_S = 1.5
 # Within this time a host of the region has read the store, if it is available.
 CROSS_REGION_START_DELAY_S = 0.8
+# Time in which other hosts are asked instead of one that failed.
+FAILED_HOST_PAUSE_S = 2.0
 MAX_PUSH_BYTES = 1300
 MAX_BODY_BYTES = 16 * 1024 * 1024
 OK = 200
@@ -50,6 +52,7 @@
             store, waits for changes that another host has; None if it does not.
         awaited: Positions of those changes.
         started_at: Time at which this host started, on the monotonic clock.
+        failed_at: Time at which a host last sent no valid update, by name.
         behind_since: Time since which another host has been ahead, if one is.
         is_lag_logged: Whether that was logged.
         wakeup: Set to run a check before ``CATCH_UP_INTERVAL_S`` is over.
@@ -70,6 +73,7 @@
         self.on_lag = on_lag
         self.ahead_since: float | None = None
         self.awaited = Positions()
+        self.failed_at: dict[str, float] = {}
         self.behind_since: float | None = None
         self.is_lag_logged = False
         self.started_at = clock.steady()
@@ -110,8 +114,10 @@
         try:
             update = self._request_update(peer)
         except (NotSentError, ResponseLostError, ValueError) as error:
+            self.failed_at[peer.name] = clock.steady()
             self.log.warning("update-not-received", peer=peer.name, error=error)
             return
+        self.failed_at.pop(peer.name, None)
         self.apply_update(update, peer.name)
 
     def behind_s(self) -> float:
@@ -163,7 +169,8 @@
     def _hosts_ahead(self) -> list[HostState]:
         """Returns the live hosts with the newest positions ahead of this one.
 
-        Hosts of this region are preferred. A host that has just started needs
+        Hosts of this region are preferred, and those that did not fail just
+        before. A host that has just started needs
         the whole state, which is large, so it waits for its own region during
         ``CROSS_REGION_START_DELAY_S`` before it queries another one.
         """
@@ -175,10 +182,21 @@
         is_starting = now - self.started_at < CROSS_REGION_START_DELAY_S
         if not same_region and is_starting and own.positions == Positions():
             return []
-        candidates = same_region or ahead
+        candidates = self._not_failed(same_region or ahead, now)
         newest = max((sum(peer.positions) for peer in candidates), default=0)
         return [peer for peer in candidates if sum(peer.positions) == newest]
 
+    def _not_failed(
+        self, hosts: list[HostState], now: float
+    ) -> list[HostState]:
+        """Returns the hosts without a recent failure, or all if all failed."""
+        self.failed_at = {
+            name: at
+            for name, at in self.failed_at.items()
+            if now - at < FAILED_HOST_PAUSE_S
+        }
+        return [x for x in hosts if x.name not in self.failed_at] or hosts
+
     def _request_update(self, peer: HostState) -> Update:
         own = self.host_table.own.positions
         path = f"?operators={own.operators}&targets={own.targets}"
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -14,6 +14,7 @@
 from sardinewheel_gateway.relay import (
     CROSS_REGION_START_DELAY_S,
     MAX_BODY_BYTES,
+    MAX_LAG_S,
     Relay,
     requested_positions,
 )
@@ -149,3 +150,38 @@
     assert "the body exceeds" in relay.log.lines[-1]
     assert sum(sent) < 2 * MAX_BODY_BYTES
     server.stop()
+
+
+def test_another_host_is_asked_after_one_that_sends_no_updates(peer, relay_to):
+    refusing = HttpServer(
+        ("127.0.0.1", 0),
+        lambda exchange: exchange.respond(500, [], b""),
+        Log(host="c"),
+    )
+    refusing.start()
+    relay, applied = relay_to(peer.listener.server_port)
+    newest = state(
+        "c",
+        control=f"127.0.0.1:{refusing.listener.server_port}",
+        positions=Positions(8, 10),
+    )
+    relay.host_table.record_heartbeat(newest, now=clock.steady())
+    relay.catch_up()
+    assert applied == []
+    relay.catch_up()
+    assert applied == [(UPDATE, "b")]
+    refusing.listener.stop()
+
+
+def test_a_long_lack_of_updates_is_logged_once_with_its_end(relay_to):
+    relay, _ = relay_to(1)
+    for _ in range(3):
+        relay.catch_up()
+        relay.behind_since -= MAX_LAG_S
+    relay.host_table.own = relay.host_table.own._replace(positions=AHEAD)
+    relay.catch_up()
+    events = [line.split("event=")[1].split()[0] for line in relay.log.lines]
+    assert [x for x in events if x.startswith("updates-")] == [
+        "updates-missing",
+        "updates-complete",
+    ]
