Let the soak's checker know of a target's start before the first request

The targets had started again: start_target wrote the record and added relays, which waits 50 ms for each path that hangs, before it told the checker, while gateways already sent requests. The check was wrong, not its bound: the checker is now told right before the record is written, between which nothing runs. A target that ends while it is added to paths no longer ends that greenlet, which would have left it unknown to the checker.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -163,10 +163,14 @@
             path.add(target)
 
     def start_target(self, target):
-        """Starts or restarts a target."""
+        """Starts or restarts a target.
+
+        The checker knows first, as gateways send requests as soon as they read
+        the record, while relays are still added.
+        """
+        self.checker.record_target_joining(target.name)
         target.start()
         self._add_to_paths(target)
-        self.checker.record_target_joining(target.name)
 
     def _on_target_request(self, target, request_id, host):
         gateway = self.gateways[host]
--- a/tests/platform/target_paths.py
+++ b/tests/platform/target_paths.py
@@ -30,6 +30,9 @@
 
     def add(self, target):
         """Adds a target that has started to listen, if it is new."""
+        if target.server is None:
+            # It has ended while it was added to other paths.
+            return
         port = target.server.server_port
         if port in self.relays:
             return
