Draw odd values for all decoders from one place, and mend what that found

tests/odd_values.py holds values that other processes may write, for the generated tests of each decoder and for the soak.

--- a/packages/gateway/sardinewheel_gateway/policy/wire.py
+++ b/packages/gateway/sardinewheel_gateway/policy/wire.py
@@ -133,6 +133,9 @@
 def _check_text(value: Any) -> str:
     if not isinstance(value, str) or len(value) > MAX_TEXT_CHARS:
         raise ValueError(f"{value!r:.80} is not a text")
+    if not value.isascii():
+        # Raises a ValueError for parts of UTF-16 pairs.
+        value.encode()
     return value
 
 
--- a/tests/gateway/policy/test_values.py
+++ b/tests/gateway/policy/test_values.py
@@ -10,17 +10,7 @@
 from hypothesis import strategies as st
 from sardinewheel_gateway.policy import values
 
-ANY_VALUE = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.just(10**400)
-    | st.floats()
-    | st.text(st.characters(exclude_categories=()))
-    | st.binary(),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=8,
-)
+from tests.odd_values import ANY_VALUE, TEXT_OF_ANY_CHARACTERS
 
 
 @given(ANY_VALUE)
@@ -83,7 +73,7 @@
         values.check_address(address, "address")
 
 
-@given(st.text(st.characters(exclude_categories=())))
+@given(TEXT_OF_ANY_CHARACTERS)
 def test_any_text_is_split_into_an_address_or_refused(text):
     try:
         host, port = values.split_address(text)
--- a/tests/gateway/policy/test_wire.py
+++ b/tests/gateway/policy/test_wire.py
@@ -22,7 +22,7 @@
 
 from tests.gateway.policy.test_hosts import state
 from tests.gateway.policy.test_updates import UPDATE
-from tests.gateway.policy.test_values import ANY_VALUE
+from tests.odd_values import ANY_VALUE
 
 LATER = "field of a later build"
 ACCOUNT = Account("cafe", (key_digest("k1"),), home_regions=frozenset("n"))
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -17,7 +17,7 @@
 
 from tests.gateway.harness import wait_until
 from tests.gateway.policy.test_hosts import state
-from tests.gateway.policy.test_values import ANY_VALUE
+from tests.odd_values import ANY_VALUE
 
 
 def free_ports(count):
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -12,6 +12,8 @@
     RateLimit,
 )
 
+from tests.odd_values import TEXT_OF_ANY_CHARACTERS
+
 
 def read_all(descriptor):
     os.set_blocking(descriptor, False)
@@ -96,7 +98,7 @@
     assert "event=target-gone target=t1" in second
 
 
-@given(st.text(st.characters(exclude_categories=())) | st.binary())
+@given(TEXT_OF_ANY_CHARACTERS | st.binary())
 def test_any_value_takes_one_line_of_bounded_length(value):
     _, log = pipe_log()
     log.info("event", value=value)
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -15,6 +15,7 @@
 from sardinewheel_platform.feeds import TableFeed, UpdateDecoder
 from sardinewheel_platform.store import Page, Row
 
+from tests.odd_values import TEXT_OF_ANY_CHARACTERS
 from tests.platform.test_records import CONFIGURATION, TARGET
 
 
@@ -242,7 +243,7 @@
 @given(
     st.lists(
         st.tuples(
-            st.text(st.characters(exclude_categories=())),
+            TEXT_OF_ANY_CHARACTERS,
             st.none() | st.binary(),
         )
     )
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -18,7 +18,7 @@
 from sardinewheel_gateway.policy.wire import from_fields
 from sardinewheel_platform import records
 
-from tests.gateway.policy.test_values import ANY_VALUE
+from tests.odd_values import ANY_VALUE
 
 MAX_MESSAGE_CHARS = 500
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from sardinewheel_platform import settings
 
-from tests.gateway.policy.test_values import ANY_VALUE
+from tests.odd_values import ANY_VALUE
 from tests.platform.gateway_process import SETTINGS
 
 DOCUMENT = tomllib.loads(
