Play odd values and faulty targets in the soak

New faults: entries, keys and evacuations of another writer, datagrams and requests with odd values, targets that write an earlier refusal before a response, odd headers or a part of a head, and a store that comes back from a copy some seconds old. At the end no log may name a failed handler or task.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -14,6 +14,18 @@
 
 READ_BYTES = 65536
 SLOTS = 4
+STALE_REFUSALS = (
+    b"HTTP/1.1 503 X\r\nSardinewheel-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    b"HTTP/1.1 503 X\r\nSardinewheel-Attempt-Id: earlier\r\n"
+    b"Sardinewheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+)
+ODD_HEADERS = (
+    f"Keep-Alive: timeout={'9' * 5000}\r\nServer-Limit: nan\r\n"
+    f"Sardinewheel-Server-Load: {'9' * 400},0,4\r\nRetry-After: inf\r\n"
+    "Server-Leaving: yes\r\nX-Odd: \u00ed\u00a0\u0080\r\n"
+)
 # Time that a request runs before it crashes its target.
 MIN_CRASH_S = 0.02
 MAX_CRASH_S = 0.3
@@ -49,6 +61,7 @@
 
     Attributes:
         mode: ``ok``, ``busy`` (503), ``silent`` or ``reset``.
+        era: Sent in each response; rises when the store returns from a copy.
     """
 
     def __init__(self):
@@ -56,6 +69,7 @@
         self.version = 0
         self.changed = Event()
         self.mode = "ok"
+        self.era = 1
         self.calls = 0
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
@@ -74,6 +88,23 @@
         self.changed.set()
         self.changed.clear()
 
+    def copy(self):
+        """Returns what the store holds now."""
+        return dict(self.rows), self.version
+
+    def return_from(self, copy):
+        """Returns to a copy; returns the data of the rows that it lacks."""
+        rows = self.rows
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era += 1
+        self.changed.set()
+        self.changed.clear()
+        return {
+            key: data
+            for key, (version, data) in rows.items()
+            if self.rows.get(key) != (version, data)
+        }
+
     def _serve(self, sock, _address):
         data = b""
         while True:
@@ -91,9 +122,12 @@
                 gevent.sleep(3600)
             status, payload = 503, {}
             if self.mode == "ok":
-                status, payload = 200, self._handle_query(line[1])
+                status, payload = self._handle_query(line[1])
             body = json.dumps(payload).encode()
-            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            head = (
+                f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
             try:
                 sock.sendall(head.encode() + body)
             except OSError:
@@ -105,15 +139,16 @@
         table = query["Table"]
         if split.path == "/rows-get":
             rows = self._rows(table, after=-1, include_deleted=False)
-            return {"Rows": rows, "HasMore": False, "Ver": self.version}
+            return 200, {"Rows": rows, "HasMore": False, "Ver": self.version}
+        after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
-            rows = self._rows(
-                table, after=int(query["after"]), include_deleted=True
-            )
+            if after > self.version:
+                return 410, {}
+            rows = self._rows(table, after=after, include_deleted=True)
             remaining_s = deadline - time.monotonic()
             if rows or remaining_s <= 0 or self.mode != "ok":
-                return {"Rows": rows, "Ver": self.version}
+                return 200, {"Rows": rows, "Ver": self.version}
             self.changed.wait(min(remaining_s, 0.5))
 
     def _rows(self, table, *, after, include_deleted):
@@ -159,7 +194,9 @@
         execution_counts: Executions of each request id, over all targets.
         fault: Fault injected into a share of the requests: none (``""``),
             ``lose`` (executes, sends no response), ``shed`` (rejects),
-            ``extra`` (sends the response twice) or ``half`` (truncates it).
+            ``extra`` (sends the response twice), ``half`` (truncates it),
+            ``stale`` (writes an earlier refusal once more before it),
+            ``cut-head`` (ends in its head) or ``odd`` (adds odd headers).
         crash_paths: Paths of requests that crash each target which runs them.
         crash_how: ``close`` if open connections end with it, ``silent`` if
             they only stop responding.
@@ -295,7 +332,7 @@
                 continue
             self.on_request(self, request_id, host)
             self._execute(sock, request_id, fault)
-            if fault in ("lose", "half"):
+            if fault in ("lose", "half", "cut-head"):
                 return
 
     def _record_arrival(self, request_id, host):
@@ -317,16 +354,20 @@
         self.execution_counts[request_id] = (
             self.execution_counts.get(request_id, 0) + 1
         )
+        if fault == "stale":
+            sock.sendall(self.rng.choice(STALE_REFUSALS))
         self.running += 1
         gevent.sleep(self.rng.uniform(0.005, 0.05))
         self.running -= 1
         if fault == "lose":
             return
         body = expected_body(request_id)
-        if fault == "half":
-            self._send(sock, request_id, 200, body, truncated_bytes=20)
+        if fault in ("half", "cut-head"):
+            cut_bytes = 20 if fault == "half" else self.rng.randint(65, 180)
+            self._send(sock, request_id, 200, body, truncated_bytes=cut_bytes)
             return
-        self._send(sock, request_id, 200, body)
+        extra_headers = ODD_HEADERS if fault == "odd" else ""
+        self._send(sock, request_id, 200, body, extra_headers)
         if fault == "extra":
             self._send(sock, request_id, 200, body)
 
@@ -347,5 +388,5 @@
             f"{self._announcing_headers(sock, request_id)}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        data = head.encode() + body
-        sock.sendall(data[: len(data) - truncated_bytes])
+        data = head.encode("latin-1") + body
+        sock.sendall(data[: max(0, len(data) - truncated_bytes)])
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -89,6 +89,18 @@
     ).encode()
 
 
+def send_and_close(sock, data):
+    """Sends bytes, reads what comes at once, and closes the connection."""
+    try:
+        sock.settimeout(0.1)
+        sock.sendall(data)
+        sock.recv(READ_BYTES)
+    except OSError:
+        pass
+    finally:
+        sock.close()
+
+
 def exchange(sock, data):
     """Sends a request and returns status, headers and body of the response.
 
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -9,6 +9,7 @@
 from tests.platform.soak.announced import Leaving, NamedLimit, Pause
 from tests.platform.soak.crashes import CONTACT_S
 from tests.platform.soak.invariants import STORE_RECOVERY_S
+from tests.platform.soak.odd_faults import OddFaults
 from tests.platform.soak.operators import probe_path
 from tests.platform.target_paths import CUTS
 
@@ -69,6 +70,7 @@
             self.announce_leaving,
             self.ask_to_wait,
             self.send_crashing_request,
+            *OddFaults(soak, rng).kinds(),
         ]
         if soak.target_paths:
             self.fault_kinds += [
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -36,6 +36,7 @@
 SETTLE_S = 6.0
 POST_FAULT_TIMEOUT_S = 20.0
 EXIT_CHECK_INTERVAL_S = 0.2
+BUG_MARKS = ("event=handler-failed", "event=task-failed", "Traceback")
 
 
 class Soak:
@@ -147,6 +148,7 @@
             gevent.killall(watches)
             self.checker.check_final()
             self._check_crashing()
+            self._check_logs()
         finally:
             self._stop_all()
         return self.checker.violations
@@ -216,6 +218,13 @@
                 f"{len(self.crashing)} did: {sorted(refused)}"
             )
 
+    def _check_logs(self):
+        """Checks that no request or task failed by a bug."""
+        for gateway in self.gateways:
+            for line in gateway.log_path.read_text().splitlines():
+                if any(x in line for x in BUG_MARKS):
+                    self.checker.record_violation(line)
+
     def _wait_until_ready(self):
         deadline = time.monotonic() + START_TIMEOUT_S
         while not all(g.is_ready() for g in self.gateways):
