--- a/packages/gateway/sardinewheel_gateway/policy/values.py
+++ b/packages/gateway/sardinewheel_gateway/policy/values.py
@@ -100,6 +100,15 @@
     return host, int(port)
 
 
+def is_address(address: str) -> bool:
+    """Returns whether :func:`split_address` can split a text."""
+    try:
+        split_address(address)
+    except ValueError:
+        return False
+    return True
+
+
 def check_address(value: Any, name: str) -> str:
     """Returns an ``address:port`` that :func:`split_address` can split.
 
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -30,6 +30,7 @@
 from sardinewheel_gateway.policy.reachability import PathChange
 from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
 from sardinewheel_gateway.policy.updates import Positions, to_plain
+from sardinewheel_gateway.policy.values import is_address
 from sardinewheel_gateway.relay import requested_positions
 from sardinewheel_gateway.store_sync import StoreSync
 from sardinewheel_gateway.supervision import keep_running
@@ -315,7 +316,7 @@
         lookup = self.adapter.lookup(path)
         if lookup is not None:
             addresses = entry_hosts(
-                self.host_table.live(now=clock.steady()),
+                self._reachable_hosts(),
                 region=lookup.region,
                 limit=MAX_LOOKUP_ADDRESSES,
             )
@@ -340,6 +341,11 @@
         else:
             exchange.respond(NOT_FOUND, [], b"")
 
+    def _reachable_hosts(self) -> list[HostState]:
+        """Returns the live hosts whose address callers can connect to."""
+        live = self.host_table.live(now=clock.steady())
+        return [host for host in live if is_address(host.front)]
+
     def _update_since(self, positions: Positions) -> bytes:
         """Returns the encoded update for a host at the given positions.
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -2,6 +2,7 @@
 
 import gevent
 import pytest
+from sardinewheel_gateway import clock
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.updates import (
     NO_POSITION,
@@ -25,6 +26,7 @@
     sends_complete_response,
     wait_until,
 )
+from tests.gateway.policy.test_hosts import state
 from tests.gateway.policy.test_routes import route
 from tests.gateway.policy.test_targets import record
 
@@ -134,6 +136,16 @@
     assert front in deployment.get(lookup, "/lookup")
 
 
+def test_lookups_leave_out_hosts_that_callers_can_not_connect_to(deployment):
+    table = deployment.gateway.host_table
+    for name, front in (("odd", "odd.example:80"), ("other", "10.0.0.7:80")):
+        table.record_heartbeat(state(name, front=front), now=clock.steady())
+    lookup = deployment.gateway.settings.lookup
+    found = deployment.get(lookup, "/lookup")
+    assert b"10.0.0.7:80" in found
+    assert b"odd.example" not in found
+
+
 def test_a_newer_version_changes_routes_and_an_older_one_does_not(deployment):
     deployment.source.updates = [operators(4, 3), registered(deployment.target)]
     wait_until(lambda: is_ready(deployment))
