Split settings, connection pool and a caller's request from large modules

The settings of a gateway, the pool of idle connections and a caller's request with its body are modules of their own; nothing else changes.

--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -2,11 +2,12 @@
 
 from sardinewheel_gateway import clock, peer_messages
 from sardinewheel_gateway.account_limit_exchange import AccountLimitExchange
-from sardinewheel_gateway.attempts import Body, Sender
+from sardinewheel_gateway.attempts import Sender
+from sardinewheel_gateway.caller_request import Body
+from sardinewheel_gateway.connection_pool import ConnectionPool
 from sardinewheel_gateway.errors import BodyTooLargeError
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.forwarding import Forwarding
-from sardinewheel_gateway.http_client import ConnectionPool
 from sardinewheel_gateway.limit_permits import LimitPermits
 from sardinewheel_gateway.metrics import Metrics, Series
 from sardinewheel_gateway.path_monitor import PathMonitor
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -12,13 +12,12 @@
 from sardinewheel_gateway.attempts import (
     Answered,
     AttemptResult,
-    Body,
     Lost,
     NotSent,
-    Request,
     TimedOut,
     result_detail,
 )
+from sardinewheel_gateway.caller_request import Body, Request
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.peer_forwarding import (
     NOT_SENT,
--- a/packages/gateway/sardinewheel_gateway/path_monitor.py
+++ b/packages/gateway/sardinewheel_gateway/path_monitor.py
@@ -7,10 +7,10 @@
 from gevent.event import Event
 
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.connection_pool import ConnectionPool
 from sardinewheel_gateway.errors import NotSentError
 from sardinewheel_gateway.http_client import (
     DEFAULT_KEEP_ALIVE_S,
-    ConnectionPool,
     connect,
 )
 from sardinewheel_gateway.policy.reachability import (
--- a/packages/gateway/sardinewheel_gateway/peer_sender.py
+++ b/packages/gateway/sardinewheel_gateway/peer_sender.py
@@ -10,14 +10,13 @@
     NON_IDEMPOTENT_IDLE_S,
     Lost,
     NotSent,
-    Request,
     TimedOut,
-    outgoing_request,
 )
+from sardinewheel_gateway.caller_request import Request, outgoing_request
+from sardinewheel_gateway.connection_pool import ConnectionPool
 from sardinewheel_gateway.errors import NotSentError, ResponseLostError
 from sardinewheel_gateway.http_client import (
     ClientExchange,
-    ConnectionPool,
     IncomingResponse,
     connect,
 )
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -17,6 +17,10 @@
 from sardinewheel_gateway.crash_exchange import CrashExchange
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.forwarder import Forwarder
+from sardinewheel_gateway.gateway_settings import (
+    GatewaySettings,
+    first_own_state,
+)
 from sardinewheel_gateway.gossip import Gossip
 from sardinewheel_gateway.http_server import HttpServer
 from sardinewheel_gateway.limit_permits import LimitPermits
@@ -28,7 +32,7 @@
 from sardinewheel_gateway.policy.hosts import HostState, HostTable
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.reachability import PathChange
-from sardinewheel_gateway.policy.routing_state import Bounds, RoutingState
+from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.policy.updates import Positions, to_plain
 from sardinewheel_gateway.policy.values import is_address
 from sardinewheel_gateway.relay import requested_positions
@@ -53,54 +57,6 @@
 TEXT_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 
 
-class GatewaySettings(NamedTuple):
-    """Settings of a gateway process.
-
-    Attributes:
-        name: Name of the host.
-        domain: Failure domain of the host.
-        region: Region of the host.
-        regions: Region of each failure domain.
-        front: ``host:port`` that serves callers' requests.
-        readiness: ``host:port`` that serves readiness checks.
-        lookup: ``host:port`` that serves look-ups of hosts by callers.
-        control: ``host:port`` that serves updates to other hosts and that
-            they list as a seed.
-        metrics: ``host:port`` that serves metrics.
-        gossip: ``host:port`` that receives datagrams from other hosts, and
-            over TCP the requests that they forward.
-        seeds: ``gossip`` addresses of other hosts, which may be stale.
-        grace_s: Maximum seconds from the stop signal to process exit.
-        max_lookup_ttl_s: Maximum seconds that callers may cache a look-up.
-        store_silence_timeout_s: Seconds within which a silent store must be
-            detected.
-        bounds: Limits that apply to all hosts together.
-        capacity: Relative size of the host; the largest hosts follow the store.
-        log_level: Minimum level that is logged.
-        advertised_ip: IP address at which other hosts reach ``gossip`` and
-            ``control`` through a proxy; empty if there is no proxy.
-    """
-
-    name: str
-    domain: str
-    region: str
-    regions: dict[str, str]
-    front: str
-    readiness: str
-    lookup: str
-    control: str
-    metrics: str
-    gossip: str
-    seeds: tuple[str, ...]
-    grace_s: float
-    max_lookup_ttl_s: float
-    store_silence_timeout_s: float
-    bounds: Bounds
-    capacity: int = 0
-    log_level: str = "info"
-    advertised_ip: str = ""
-
-
 class CachedUpdate(NamedTuple):
     """An encoded update, cached for identical requests of other hosts.
 
@@ -157,7 +113,7 @@
             regions=settings.regions,
             rng=self.rng,
         )
-        self.host_table = HostTable(_own_state(settings))
+        self.host_table = HostTable(first_own_state(settings))
         self.gossip = Gossip(
             settings.gossip, self.host_table, list(settings.seeds), self.log
         )
@@ -417,25 +373,3 @@
             took_s=clock.steady() - began,
         )
         self.log.flush()
-
-
-def _own_state(settings: GatewaySettings) -> HostState:
-    return HostState(
-        name=settings.name,
-        incarnation=int(clock.wall() * 1000),
-        sequence=0,
-        front=settings.front,
-        gossip=_advertised_address(settings.gossip, settings),
-        control=_advertised_address(settings.control, settings),
-        domain=settings.domain,
-        region=settings.region,
-        is_ready=False,
-        capacity=settings.capacity,
-    )
-
-
-def _advertised_address(address: str, settings: GatewaySettings) -> str:
-    """Returns the address at which other hosts reach ``address``."""
-    if not settings.advertised_ip or not address:
-        return address
-    return f"{settings.advertised_ip}:{address.rpartition(':')[2]}"
--- a/tests/gateway/test_path_monitor.py
+++ b/tests/gateway/test_path_monitor.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent.server import StreamServer
 from sardinewheel_gateway import clock
-from sardinewheel_gateway.http_client import ConnectionPool
+from sardinewheel_gateway.connection_pool import ConnectionPool
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.path_monitor import MAX_SILENCE_S, PathMonitor
 from sardinewheel_gateway.policy.routing_state import RoutingState
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 from sardinewheel_gateway import clock
+from sardinewheel_gateway.gateway_settings import GatewaySettings
 from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.updates import (
     NO_POSITION,
@@ -11,7 +12,7 @@
     TargetsUpdate,
     Update,
 )
-from sardinewheel_gateway.process import Gateway, GatewaySettings
+from sardinewheel_gateway.process import Gateway
 from sardinewheel_testing.processes import free_address
 
 from tests.gateway.harness import (
