--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -4,6 +4,8 @@
 
 import gevent
 
+from tests.platform.soak.callers import connect, exchange, request
+
 
 class Load:
     """Sends requests to randomly chosen gateways until stopped.
@@ -39,3 +41,28 @@
             request_id = f"{self.number}-{gateway.number}"
             gevent.spawn(self.send, gateway, request_id)
             gevent.sleep(self.rng.expovariate(self.requests_per_s))
+
+
+class StatusLoad(Load):
+    """Callers that open a connection for each request.
+
+    Attributes:
+        object_count: Number of objects that the requests concern.
+        statuses: Status of each response; 0 if there was none.
+    """
+
+    object_count = 40
+
+    def __init__(self, gateways, *, requests_per_s, seed=3):
+        self.requests_per_s = requests_per_s
+        self.statuses = []
+        super().__init__(gateways, seed=seed)
+
+    def send(self, gateway, request_id):
+        """Sends one request."""
+        sock = connect(gateway)
+        key = self.rng.randint(1, self.object_count)
+        data = request("GET", "/idempotent/x", request_id, key=key)
+        response = exchange(sock, data)
+        sock.close()
+        self.statuses.append(response[0] if response else 0)
--- a/tests/platform/test_announced_limits.py
+++ b/tests/platform/test_announced_limits.py
@@ -7,13 +7,11 @@
 from sardinewheel_gateway.policy.limit_admission import TAKEOVER_WAIT_S
 
 from tests.platform.fakes import Target
-from tests.platform.load import Load
+from tests.platform.load import StatusLoad
 from tests.platform.soak.announced import CONVERGENCE_S, WINDOW_S, NamedLimit
-from tests.platform.soak.callers import connect, exchange, request
 
 DOMAINS = ("north-a", "north-a", "north-b", "east-a", "east-a", "east-b")
 REQUESTS_PER_S = 24.0
-OBJECT_COUNT = 40
 LIMIT_PER_S = 2.0
 UNLIMITED_S = 1.0
 MIN_SERVED_RATIO = 0.98
@@ -21,29 +19,6 @@
 MIN_SHARE_RATIO = 0.5
 
 
-class LimitLoad(Load):
-    """Callers that open a connection for each request.
-
-    Attributes:
-        statuses: Status of each response; 0 if there was none.
-    """
-
-    requests_per_s = REQUESTS_PER_S
-
-    def __init__(self, gateways):
-        super().__init__(gateways, seed=3)
-        self.statuses = []
-
-    def send(self, gateway, request_id):
-        """Sends one request."""
-        sock = connect(gateway)
-        key = self.rng.randint(1, OBJECT_COUNT)
-        data = request("GET", "/idempotent/x", request_id, key=key)
-        response = exchange(sock, data)
-        sock.close()
-        self.statuses.append(response[0] if response else 0)
-
-
 @pytest.fixture
 def group(make_group):
     """Running hosts with two targets, ``targets``."""
@@ -68,7 +43,7 @@
 
 def test_hosts_that_were_told_a_limit_keep_it_together(group):
     limit = NamedLimit(LIMIT_PER_S)
-    load = LimitLoad(group.gateways)
+    load = StatusLoad(group.gateways, requests_per_s=REQUESTS_PER_S)
     gevent.sleep(UNLIMITED_S)
     group.targets[0].announced = limit
     gevent.sleep(CONVERGENCE_S + 1.5 * WINDOW_S)
@@ -79,7 +54,7 @@
 
 
 def test_limits_above_the_demand_turn_nobody_away(group):
-    load = LimitLoad(group.gateways)
+    load = StatusLoad(group.gateways, requests_per_s=REQUESTS_PER_S)
     gevent.sleep(UNLIMITED_S + TAKEOVER_WAIT_S)
     for target in group.targets:
         target.announced = NamedLimit(REQUESTS_PER_S)
@@ -91,7 +66,7 @@
 
 def test_a_target_that_names_no_limit_any_more_gets_its_share_again(group):
     target = group.targets[0]
-    load = LimitLoad(group.gateways)
+    load = StatusLoad(group.gateways, requests_per_s=REQUESTS_PER_S)
     gevent.sleep(UNLIMITED_S)
     target.announced = NamedLimit(LIMIT_PER_S)
     gevent.sleep(CONVERGENCE_S)
--- a/tests/platform/test_unusable_entries.py
+++ b/tests/platform/test_unusable_entries.py
@@ -7,14 +7,13 @@
 import pytest
 
 from tests.platform.fakes import Target
-from tests.platform.load import Load
+from tests.platform.load import StatusLoad
 from tests.platform.soak.callers import connect, exchange, request
 from tests.platform.soak.operators import configuration, probe_path
 
 DOMAINS = ("north-a", "north-a", "north-b", "north-b")
 TARGET_COUNT = 4
 REQUESTS_PER_S = 40.0
-OBJECT_COUNT = 40
 CALM_S = 2.0
 # Bounds of the users for leaving targets and for configurations.
 DRAIN_S = 2.5
@@ -47,29 +46,6 @@
 }
 
 
-class EntryLoad(Load):
-    """Callers that open a connection for each request.
-
-    Attributes:
-        statuses: Status of each response; 0 if there was none.
-    """
-
-    requests_per_s = REQUESTS_PER_S
-
-    def __init__(self, gateways):
-        super().__init__(gateways, seed=3)
-        self.statuses = []
-
-    def send(self, gateway, request_id):
-        """Sends one request."""
-        sock = connect(gateway)
-        key = self.rng.randint(1, OBJECT_COUNT)
-        data = request("GET", "/idempotent/x", request_id, key=key)
-        response = exchange(sock, data)
-        sock.close()
-        self.statuses.append(response[0] if response else 0)
-
-
 @pytest.fixture
 def group(make_group):
     """Running hosts with targets, ``targets``, and ``arrivals`` at them."""
@@ -121,7 +97,7 @@
 def test_targets_that_leave_get_no_requests_beside_an_unusable_entry(
     group, name
 ):
-    load = EntryLoad(group.gateways)
+    load = StatusLoad(group.gateways, requests_per_s=REQUESTS_PER_S)
     gevent.sleep(CALM_S)
     group.store.put("servers", "i-other", ENTRIES[name])
     gevent.sleep(CALM_S)
