Judge the path to targets by those of configured services only

Records of another writer that name a service nobody configured, each with a domain of its own, came first in the rounds that decide whether a host reaches targets, as these are spread over domains: a host with little traffic would take its path for lost, and not for regained.

--- a/packages/gateway/sardinewheel_gateway/path_monitor.py
+++ b/packages/gateway/sardinewheel_gateway/path_monitor.py
@@ -64,7 +64,7 @@
     def record_failure(self, target_id: str) -> None:
         """Records that a connection to a target failed."""
         self.reachability.record_failure(target_id)
-        count = len(self.routing_state.target_table.targets)
+        count = len(self.routing_state.targets_of_services())
         if self.reachability.is_suspect(count):
             self.suspected.set()
 
@@ -81,7 +81,7 @@
         """Opens a connection to several targets and records the result."""
         began = clock.steady()
         targets = round_targets(
-            self.routing_state.target_table.targets.values(),
+            self.routing_state.targets_of_services(),
             self.reachability.failed,
             self.rng,
         )
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -147,6 +147,17 @@
         """Returns the route of a request."""
         return self.route_table.find(host, path)
 
+    def targets_of_services(self) -> list[Target]:
+        """Returns the targets of the configured services, or all without one.
+
+        Another writer's record may name a service that nobody configured.
+        """
+        targets = self.target_table.targets.values()
+        if self.configuration is None:
+            return list(targets)
+        services = self.configuration.services
+        return [x for x in targets if x.record.service in services]
+
     def choose_service(self, route: Route) -> str:
         """Returns the service for the next request of a route."""
         return self.splits.choose(route)
--- a/tests/gateway/test_path_monitor.py
+++ b/tests/gateway/test_path_monitor.py
@@ -10,9 +10,11 @@
 from sardinewheel_gateway.connection_pool import ConnectionPool
 from sardinewheel_gateway.log import Log
 from sardinewheel_gateway.path_monitor import MAX_SILENCE_S, PathMonitor
+from sardinewheel_gateway.policy.routes import Configuration
 from sardinewheel_gateway.policy.routing_state import RoutingState
 
-from tests.gateway.harness import BOUNDS, wait_until
+from tests.gateway.harness import BOUNDS, LIMITS, ORDERS, wait_until
+from tests.gateway.policy.test_routes import route
 from tests.gateway.policy.test_targets import record
 
 TARGETS = 6
@@ -135,3 +137,21 @@
         targets.monitor.record_reached()
     assert targets.changes
     assert targets.silences == 0
+
+
+def test_records_of_unknown_services_do_not_show_a_lost_path(targets):
+    targets.routing_state.configure(
+        Configuration(1, (route(),), {"orders": ORDERS}, LIMITS)
+    )
+    for number in range(50 * TARGETS):
+        odd = record(
+            f"odd{number}",
+            service="unknown",
+            domain=f"odd-{number}",
+            address=CLOSED_ADDRESS,
+        )
+        targets.routing_state.target_table.put(odd, now=clock.steady())
+    targets.fail("odd0", "odd1")
+    gevent.sleep(0.1)
+    assert targets.changes == []
+    assert targets.accepted > 0
