Follow a target that starts again with its clock set back

Its records, its leaving among them, were ignored until its entry went, as their start is earlier than the known one (review, from reading). An earlier start is now taken for a late write of the incarnation before for 8 s only. The new test failed before.

--- a/packages/gateway/sardinewheel_gateway/policy/targets.py
+++ b/packages/gateway/sardinewheel_gateway/policy/targets.py
@@ -18,6 +18,8 @@
 MISSING_RECORD_GRACE_S = 2.2
 MIN_EXPIRING_OUTAGE_S = 2.0
 MAX_LEAVING = 2000
+# Time in which a write of the incarnation before may still be performed.
+LATE_WRITE_S = 8.0
 # Time after the registry came back from a backup for which what was known of
 # targets that leave goes before its records. Targets write theirs again.
 RESTORE_HOLD_S = 6.0
@@ -81,6 +83,7 @@
 
     Attributes:
         record: Its latest record.
+        joined_at: Time at which this incarnation became known here.
         cold_until: Time from which it is no longer cold, in seconds of the
             monotonic clock.
         expires_at: Time at which it is removed because its record is missing;
@@ -89,6 +92,7 @@
 
     def __init__(self, record: TargetRecord, *, now: float):
         self.record = record
+        self.joined_at = now
         self.cold_until = now + record.cold_left_s
         self.expires_at: float | None = None
 
@@ -150,7 +154,7 @@
     def put(self, record: TargetRecord, *, now: float) -> TargetChange | None:
         """Adds or updates a target from its record; returns what changed."""
         known = self.targets.get(record.target_id)
-        if known is not None and _is_older(record, known.record):
+        if known is not None and _is_older(record, known, now):
             return None
         if known is None or known.record.started_ms != record.started_ms:
             self.targets[record.target_id] = Target(record, now=now)
@@ -319,6 +323,11 @@
         return TargetChange(target_id, "gone")
 
 
-def _is_older(record: TargetRecord, known: TargetRecord) -> bool:
-    """Returns whether a record is of an earlier incarnation."""
-    return 0 < record.started_ms < known.started_ms
+def _is_older(record: TargetRecord, known: Target, now: float) -> bool:
+    """Returns whether a record is a late write of an earlier incarnation.
+
+    Later on, the clock of the target was set back before it started again.
+    """
+    if now - known.joined_at > LATE_WRITE_S:
+        return False
+    return 0 < record.started_ms < known.record.started_ms
--- a/tests/gateway/policy/test_targets.py
+++ b/tests/gateway/policy/test_targets.py
@@ -1,6 +1,7 @@
 """Targets join and leave by their records, also across registry outages."""
 
 from sardinewheel_gateway.policy.targets import (
+    LATE_WRITE_S,
     MISSING_RECORD_GRACE_S,
     TargetRecord,
     TargetTable,
@@ -115,3 +116,14 @@
     assert target_table.evacuate(frozenset(), now=9.0)
     assert ids(target_table) == ["t1"]
     assert target_table.targets["t1"].is_cold(11.9)
+
+
+def test_a_target_that_starts_again_with_an_earlier_clock_is_followed():
+    target_table = TargetTable()
+    target_table.put(record(started_ms=2000), now=0.0)
+    now = LATE_WRITE_S + 1.0
+    change = target_table.put(record(started_ms=1000), now=now)
+    assert change.event == "restarted"
+    leaving = record(started_ms=1000, is_draining=True)
+    assert target_table.put(leaving, now=now).event == "draining"
+    assert ids(target_table) == []
