--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -239,6 +239,7 @@
         (503, [b"-1"], 0.0),
         (503, [b"soon"], 0.0),
         (503, [b"9" * 400], 0.0),
+        (503, [b"999999999"], 0.0),
         (200, [b"2"], 0.0),
         (421, [b"2"], 0.0),
     ],
