Let two tests of the trace hold on a machine that is busy

'held it for 0.2' compared the first digits of a time that ends with the route's timeout of 0.2 s but begins when the request is sent: 0.197 s is as right, so the time itself is now checked, between 0.1 and 0.3 s. The 20 requests that fill the targets had ended by their timeout of 0.6 s before the last of them was placed; they stay for 5 s now, and the refusal and its load are checked as before.

--- a/tests/cli/test_request_trace.py
+++ b/tests/cli/test_request_trace.py
@@ -3,6 +3,8 @@
 A gateway writes the lines while it forwards requests to scripted targets.
 """
 
+import re
+
 import gevent
 from sardinewheel_cli.log_lines import read
 from sardinewheel_cli.request_trace import RequestTrace
@@ -59,7 +61,7 @@
 
 
 def test_refused_since_the_targets_were_full(start_gateway):
-    harness = start_gateway(never_responds, timeout_s=0.6)
+    harness = start_gateway(never_responds, timeout_s=5.0)
     tasks = [
         gevent.spawn(harness.send_request, number=n) for n in range(10, 30)
     ]
@@ -92,11 +94,11 @@
 def test_unknown_since_the_target_was_silent(start_gateway):
     harness = start_gateway(never_responds, timeout_s=0.2)
     assert b"504" in harness.send_request()
-    assert "t0 held it for 0.2" in trace_request(harness).cause()
-    assert (
-        "and answered no requests; its record remained"
-        in trace_request(harness).cause()
-    )
+    cause = trace_request(harness).cause()
+    held = re.search(r"t0 held it for (\d\.\d+) s", cause)
+    # The time before the request was sent is not the target's.
+    assert 0.1 < float(held[1]) < 0.3
+    assert "and answered no requests; its record remained" in cause
 
 
 def test_late_since_the_target_was_slow(start_gateway):
