Send nothing at a stop that its grace period would cut

Cause: a host that stops decided on a request when its head came. Late bodies, second attempts and long work were sent until the process ended.

Fix: from the signal on each attempt, here or at another host, needs time: its deadline comes before the end, or twice the time expected of the target and its queue fits in and 2.5 s have not passed. Else 503 at once. Bodies that can't end in time are given up with a response: 503, or 502 if a part was passed on.

--- a/packages/gateway/sardinewheel_gateway/caller_request.py
+++ b/packages/gateway/sardinewheel_gateway/caller_request.py
@@ -12,6 +12,35 @@
 from sardinewheel_gateway.policy.accounts import Account
 from sardinewheel_gateway.policy.routes import Route, common_homes
 
+DEFAULT_CALLER_TIMEOUT_S = 30.0
+
+
+class Deadlines(NamedTuple):
+    """Deadlines of a request, on the monotonic clock.
+
+    Attributes:
+        caller: Time at which the caller stops waiting.
+        response: Time at which the final response is due.
+    """
+
+    caller: float
+    response: float
+
+    @classmethod
+    def from_head(
+        cls, head: RequestHead, caller: CallerInfo, route: Route
+    ) -> "Deadlines":
+        """Returns the deadlines of a request with the given head."""
+        caller_timeout_s = caller.remaining_s
+        if caller_timeout_s is None:
+            caller_timeout_s = DEFAULT_CALLER_TIMEOUT_S
+        timeout_s = caller_timeout_s
+        if route.timeout_s is not None:
+            timeout_s = min(timeout_s, route.timeout_s)
+        return cls(
+            head.received_at + caller_timeout_s, head.received_at + timeout_s
+        )
+
 
 class Body:
     """A request body, which can be sent once if it is too large to buffer.
--- a/packages/gateway/sardinewheel_gateway/errors.py
+++ b/packages/gateway/sardinewheel_gateway/errors.py
@@ -13,6 +13,10 @@
     """A request body exceeds the size limit."""
 
 
+class StoppingError(GatewayError):
+    """The host stops before the request could be sent to a target."""
+
+
 class BodyTakenError(GatewayError):
     """A request body that can be sent only once was sent before."""
 
--- a/packages/gateway/sardinewheel_gateway/exchange.py
+++ b/packages/gateway/sardinewheel_gateway/exchange.py
@@ -8,7 +8,11 @@
 import h11
 from gevent.event import Event
 
-from sardinewheel_gateway.errors import BodyTooLargeError, CallerGoneError
+from sardinewheel_gateway.errors import (
+    BodyTooLargeError,
+    CallerGoneError,
+    StoppingError,
+)
 from sardinewheel_gateway.messages import Headers, RequestHead
 from sardinewheel_gateway.peer_messages import Origin
 
@@ -64,6 +68,7 @@
         Raises:
             BodyTooLargeError: The body exceeds the size limit.
             CallerGoneError: The body ended early.
+            StoppingError: The rest is not awaited any more.
         """
         while True:
             while self.chunks:
@@ -77,6 +82,16 @@
             self.body_changed.clear()
             self.body_changed.wait()
 
+    def fail_body(self, error: Exception) -> None:
+        """Ends the request body with an error."""
+        self.body_error = error
+        self.body_changed.set()
+
+    def give_up_body(self) -> None:
+        """Awaits no more of the request body, unless it has ended."""
+        if not self.body_is_complete and self.body_error is None:
+            self.fail_body(StoppingError("the host stops"))
+
     @property
     def body_is_too_large(self) -> bool:
         """Whether the request body exceeded the size limit."""
--- a/packages/gateway/sardinewheel_gateway/forwarder.py
+++ b/packages/gateway/sardinewheel_gateway/forwarder.py
@@ -3,11 +3,12 @@
 from sardinewheel_gateway import clock, peer_messages
 from sardinewheel_gateway.account_limit_exchange import AccountLimitExchange
 from sardinewheel_gateway.attempts import Sender
-from sardinewheel_gateway.caller_request import Body
+from sardinewheel_gateway.body_buffer import BodyBuffer
+from sardinewheel_gateway.caller_request import Deadlines
 from sardinewheel_gateway.connection_pool import ConnectionPool
-from sardinewheel_gateway.errors import BodyTooLargeError
+from sardinewheel_gateway.errors import BodyTooLargeError, StoppingError
 from sardinewheel_gateway.exchange import Exchange
-from sardinewheel_gateway.forwarding import Forwarding
+from sardinewheel_gateway.forwarding import STOPPING, Forwarding
 from sardinewheel_gateway.limit_permits import LimitPermits
 from sardinewheel_gateway.metrics import Metrics, Series
 from sardinewheel_gateway.path_monitor import PathMonitor
@@ -17,17 +18,16 @@
 from sardinewheel_gateway.platform_adapter import CallerInfo, PlatformAdapter
 from sardinewheel_gateway.policy.account_limits import Token
 from sardinewheel_gateway.policy.accounts import Account
+from sardinewheel_gateway.policy.grace_period import GracePeriod
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.routes import Route, common_homes
 from sardinewheel_gateway.policy.routing_state import RoutingState
 from sardinewheel_gateway.responder import TOO_LARGE, UNAVAILABLE
 
-MAX_REPEATABLE_BODY_BYTES = 64 * 1024
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-STOPPING_RETRY_AFTER_S = 0.1
 PEER_RETRY_AFTER_S = 0.3
-# Requests of other hosts handled at the same time, each of which may take
-# ``MAX_REPEATABLE_BODY_BYTES`` and two connections.
+# Requests of other hosts handled at the same time, each of which may take a
+# buffered body and two connections.
 MAX_PEER_REQUESTS = 256
 NO_COMMON_HOME_RETRY_AFTER_S = 5.0
 BAD_REQUEST = 400
@@ -49,6 +49,8 @@
         peer_sender: Sends requests to other hosts.
         peer_requests: Requests of other hosts under way.
         metrics: Counters and histograms.
+        bodies: Bodies that are read before their requests are forwarded.
+        grace_period: What is left for requests, once this host stops.
         is_refusing: Whether new requests are refused because of shutdown.
     """
 
@@ -78,19 +80,24 @@
         self.path_monitor.on_silence = self.sender.give_up_connections
         self.peer_sender = PeerSender(peer_choice)
         self.peer_requests = 0
+        self.bodies = BodyBuffer()
+        self.grace_period: GracePeriod | None = None
         self.is_refusing = False
 
+    def start_grace_period(self, grace_period: GracePeriod) -> None:
+        """Forwards from now on only requests that end before this host."""
+        self.grace_period = grace_period
+
+    def refuse_new_requests(self) -> None:
+        """Refuses new requests, and those too late for the grace period."""
+        self.is_refusing = True
+        self.bodies.give_up(due_after=self.grace_period.ends_at)
+
     def handle(self, exchange: Exchange) -> None:
         """Handles one request of a caller."""
         caller = self.adapter.caller(exchange.head.headers)
         if self.is_refusing:
-            self.respond(
-                exchange,
-                caller,
-                UNAVAILABLE,
-                "stopping",
-                retry_after_s=STOPPING_RETRY_AFTER_S,
-            )
+            self._refuse_stopping(exchange, caller)
             return
         route = self._route(exchange, caller)
         if route is None:
@@ -123,15 +130,30 @@
         account: Account | None,
     ) -> bool:
         """Forwards a request; returns whether a target may have run it."""
+        deadlines = Deadlines.from_head(exchange.head, caller, route)
         try:
-            body = _buffer_body(exchange)
+            body = self.bodies.read(exchange, deadlines.response)
         except BodyTooLargeError:
             self.respond(exchange, caller, TOO_LARGE, "body-too-large")
             return False
-        forwarding = Forwarding(self, exchange, caller, route, account, body)
+        except StoppingError:
+            self._refuse_stopping(exchange, caller)
+            return False
+        forwarding = Forwarding(
+            self, exchange, caller, route, account, body, deadlines
+        )
         forwarding.run()
         return not forwarding.was_refused
 
+    def _refuse_stopping(self, exchange: Exchange, caller: CallerInfo) -> None:
+        self.respond(
+            exchange,
+            caller,
+            UNAVAILABLE,
+            STOPPING.reason,
+            retry_after_s=STOPPING.retry_after_s,
+        )
+
     def handle_peer(self, exchange: Exchange) -> None:
         """Handles one request that another host forwards."""
         try:
@@ -265,14 +287,3 @@
             **fields,
         )
         exchange.respond(status, headers, b"")
-
-
-def _buffer_body(exchange: Exchange) -> Body:
-    """Buffers a request body; the remainder of a large one is streamed."""
-    start = bytearray()
-    parts = exchange.body()
-    for part in parts:
-        start += part
-        if len(start) > MAX_REPEATABLE_BODY_BYTES:
-            return Body(bytes(start), parts)
-    return Body(bytes(start), None)
--- a/packages/gateway/sardinewheel_gateway/forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/forwarding.py
@@ -4,6 +4,7 @@
 the target reported that it did not execute the request.
 """
 
+import math
 from typing import TYPE_CHECKING
 
 import gevent
@@ -17,7 +18,7 @@
     TimedOut,
     result_detail,
 )
-from sardinewheel_gateway.caller_request import Body, Request
+from sardinewheel_gateway.caller_request import Body, Deadlines, Request
 from sardinewheel_gateway.exchange import Exchange
 from sardinewheel_gateway.peer_forwarding import (
     NOT_SENT,
@@ -40,7 +41,6 @@
 
 MAX_CONNECT_FAILURES = 3
 MAX_PERMIT_REFUSALS = 4
-DEFAULT_CALLER_TIMEOUT_S = 30.0
 MIN_ATTEMPT_S = 0.05
 DEFAULT_RETRY_AFTER_S = 0.3
 PATH_LOST_RETRY_AFTER_S = 0.5
@@ -48,6 +48,8 @@
 CRASHING_RETRY_AFTER_S = 60.0
 CRASHES_TARGETS = "crashes-targets"
 PEER_FAILED = "peer-failed"
+# Another host serves the caller.
+STOPPING = Refused("stopping", 0.1)
 GATEWAY_TIMEOUT = 504
 BODY_SENT = "body-sent"
 
@@ -79,6 +81,7 @@
         route: Route,
         account: Account | None,
         body: Body,
+        deadlines: Deadlines,
     ):
         self.forwarder = forwarder
         self.routing_state = forwarder.routing_state
@@ -95,16 +98,16 @@
         self.was_refused = False
         self.peers = PeerForwarding(self, forwarder.peer_sender)
         self.responder = Responder(self)
-        received_at = exchange.head.received_at
-        caller_timeout_s = caller.remaining_s
-        if caller_timeout_s is None:
-            caller_timeout_s = DEFAULT_CALLER_TIMEOUT_S
-        self.caller_deadline = deadline = received_at + caller_timeout_s
-        if route.timeout_s is not None:
-            deadline = min(deadline, received_at + route.timeout_s)
+        self.caller_deadline = deadlines.caller
         digest = request_digest(exchange.head, caller.object_key, body.start)
         self.request = Request(
-            exchange.head, caller, route, body, deadline, digest, account
+            exchange.head,
+            caller,
+            route,
+            body,
+            deadlines.response,
+            digest,
+            account,
         )
 
     @property
@@ -129,6 +132,29 @@
         """Seconds since the request's head was complete."""
         return clock.steady() - self.exchange.head.received_at
 
+    def has_time(self, finish_s: float | None = None) -> bool:
+        """Returns whether it can end before this host does.
+
+        Args:
+            finish_s: Expected seconds until a target's response; by default
+                those of the work, without any wait.
+        """
+        grace_period = self.forwarder.grace_period
+        if grace_period is None:
+            return True
+        is_body_awaited = not self.exchange.body_is_complete
+        if is_body_awaited:
+            finish_s = math.inf
+        elif finish_s is None:
+            finish_s = self.routing_state.expected_work_s(
+                self.route, self.service
+            )
+        return grace_period.has_time(
+            deadline=self.request.deadline,
+            finish_s=finish_s,
+            now=clock.steady(),
+        )
+
     def run(self) -> None:
         """Forwards the request until a final response was sent."""
         self.routing_state.count_request(self.service, clock.steady())
@@ -150,20 +176,28 @@
     def _run(self) -> None:
         if self._refuse_crashing():
             return
+        if not self.has_time():
+            self._refuse(STOPPING)
+            return
         if self._prefers_peers() and self._end_without_targets():
             return
         while True:
             now = clock.steady()
             if self._end_before_attempt(now):
                 return
-            choice = self.routing_state.placer.place(
-                self._placement_request(), now
-            )
+            placement_request = self._placement_request()
+            choice = self.routing_state.placer.place(placement_request, now)
             if isinstance(choice, Refused):
                 is_down = choice.reason == TARGETS_DOWN
                 if not (is_down and self._end_at_peer()):
                     self._refuse(choice)
                 return
+            room = self.routing_state.placer.room
+            if not self.has_time(
+                room.expected_finish_s(placement_request, choice)
+            ):
+                self._refuse(STOPPING)
+                return
             if not self._acquire_permit(choice):
                 continue
             if self.tried and not self.routing_state.try_acquire_retry(
--- a/packages/gateway/sardinewheel_gateway/http_server.py
+++ b/packages/gateway/sardinewheel_gateway/http_server.py
@@ -222,7 +222,7 @@
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
-                self._fail_body(exchange, CallerGoneError(str(error)))
+                exchange.fail_body(CallerGoneError(str(error)))
                 raise CallerGoneError(str(error)) from error
             if isinstance(event, h11.Data):
                 self._buffer_data(exchange, bytes(event.data))
@@ -236,7 +236,7 @@
                     error = CallerGoneError(
                         "connection closed or idle before the body ended"
                     )
-                    self._fail_body(exchange, error)
+                    exchange.fail_body(error)
                     raise error
                 parser.receive_data(data)
             else:
@@ -245,9 +245,8 @@
     def _buffer_data(self, exchange: Exchange, data: bytes) -> None:
         exchange.received_bytes += len(data)
         if exchange.received_bytes > self.server.limits.max_body_bytes:
-            self._fail_body(
-                exchange,
-                BodyTooLargeError("request body exceeds max_body_bytes"),
+            exchange.fail_body(
+                BodyTooLargeError("request body exceeds max_body_bytes")
             )
             self._discard_input()
             raise CallerGoneError("request body exceeds max_body_bytes")
@@ -262,10 +261,6 @@
             exchange.body_consumed.clear()
             exchange.body_consumed.wait(timeout=1.0)
 
-    def _fail_body(self, exchange: Exchange, error: Exception) -> None:
-        exchange.body_error = error
-        exchange.body_changed.set()
-
     def _discard_input(self) -> None:
         """Discards input while pending responses are sent."""
         deadline = clock.steady() + DISCARD_TIMEOUT_S
@@ -369,6 +364,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def give_up_bodies(self) -> None:
+        """Awaits no more of the request bodies that have not ended."""
+        for exchange in list(self.in_progress):
+            exchange.give_up_body()
+
     def request_started(self, exchange: Exchange) -> None:
         """Registers a request."""
         self.in_progress.add(exchange)
--- a/packages/gateway/sardinewheel_gateway/peer_forwarding.py
+++ b/packages/gateway/sardinewheel_gateway/peer_forwarding.py
@@ -116,6 +116,8 @@
             return None
         if request.deadline - now < MIN_FORWARD_S:
             return None
+        if not self.forwarding.has_time():
+            return None
         return self.sender.choice.choose(
             self.forwarding.service,
             home_regions=request.home_regions,
--- a/packages/gateway/sardinewheel_gateway/policy/room.py
+++ b/packages/gateway/sardinewheel_gateway/policy/room.py
@@ -116,9 +116,18 @@
 
         It is 0 while the work of the route is unknown.
         """
-        work = work_of(request)
-        if not self.work_times.is_known(work):
+        if not self.work_times.is_known(work_of(request)):
             return 0.0
+        return self.expected_finish_s(request, placed)
+
+    def expected_finish_s(
+        self, request: PlacementRequest, placed: Placed
+    ) -> float:
+        """Returns the expected seconds until a target would respond.
+
+        Work that is unknown counts as that of the route's latency objective.
+        """
+        work = work_of(request)
         return FinishEstimate.of(
             load=placed.expected_load,
             slots=placed.target.record.slots,
--- a/packages/gateway/sardinewheel_gateway/policy/routing_state.py
+++ b/packages/gateway/sardinewheel_gateway/policy/routing_state.py
@@ -229,6 +229,11 @@
         work = _work_at(placed, route)
         self.placer.room.record_response(work, placed, response_s)
 
+    def expected_work_s(self, route: Route, service: str) -> float:
+        """Returns the expected seconds of execution at a service."""
+        work = Work(service, route.name, route.objective_s)
+        return self.placer.room.work_times.of_route(work)
+
     def record_object(
         self, route: Route, placed: Placed, key: str, *, now: float
     ) -> None:
--- a/packages/gateway/sardinewheel_gateway/process.py
+++ b/packages/gateway/sardinewheel_gateway/process.py
@@ -29,6 +29,7 @@
 from sardinewheel_gateway.metrics import Metrics
 from sardinewheel_gateway.platform_adapter import PlatformAdapter
 from sardinewheel_gateway.policy.entry_hosts import entry_hosts
+from sardinewheel_gateway.policy.grace_period import GracePeriod
 from sardinewheel_gateway.policy.hosts import HostState, HostTable
 from sardinewheel_gateway.policy.peer_choice import PeerChoice
 from sardinewheel_gateway.policy.reachability import PathChange
@@ -45,6 +46,9 @@
 MAX_LOOKUP_ADDRESSES = 64
 STOP_ACCEPT_S = 2.5
 STOP_MARGIN_S = 0.8
+# Time in which the last responses are sent.
+LAST_RESPONSES_S = 0.2
+STOP_CHECK_S = 0.02
 # Longer than other hosts keep idle connections.
 PEER_IDLE_TIMEOUT_S = 15.0
 UPDATE_CACHE_TTL_S = 0.3
@@ -349,8 +353,8 @@
         """Shuts down without cancelling requests that have arrived.
 
         New requests are accepted while callers may still have look-ups cached
-        that name this host, and refused after that, so that the requests in
-        progress can complete.
+        that name this host, if they can end in time, and refused after that,
+        so that the requests in progress can complete.
         """
         began = clock.steady()
         self.is_shutting_down = True
@@ -360,13 +364,19 @@
         self.log.info("stop-ordered", under_way=self._requests_under_way())
         self._update_readiness()
         end = began + self.settings.grace_s - STOP_MARGIN_S
-        gevent.sleep(min(STOP_ACCEPT_S, self.settings.grace_s / 2))
-        self.forwarder.is_refusing = True
+        accept_s = min(STOP_ACCEPT_S, self.settings.grace_s / 2)
+        grace_period = GracePeriod(began + accept_s, end - LAST_RESPONSES_S)
+        self.forwarder.start_grace_period(grace_period)
+        gevent.sleep(accept_s)
+        self.forwarder.refuse_new_requests()
         for server in servers:
             server.stop_accepting()
             server.close_idle()
-        while self._requests_under_way() and clock.steady() < end:
-            gevent.sleep(0.02)
+        while self._requests_under_way() and (now := clock.steady()) < end:
+            if now >= grace_period.ends_at:
+                for server in servers:
+                    server.give_up_bodies()
+            gevent.sleep(STOP_CHECK_S)
         self.log.info(
             "process-stopped",
             under_way=self._requests_under_way(),
