--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+import random
 import time
 from urllib.parse import parse_qs, urlsplit
 
@@ -62,6 +63,9 @@
     Attributes:
         mode: ``ok``, ``busy`` (503), ``silent`` or ``reset``.
         era: Sent in each response; rises when the store returns from a copy.
+        page_rows: Most rows of a table in one response; ``None`` for all.
+        on_page: Called with the table and the first key before each response
+            that lists rows.
     """
 
     def __init__(self):
@@ -70,6 +74,8 @@
         self.changed = Event()
         self.mode = "ok"
         self.era = 1
+        self.page_rows = None
+        self.on_page = lambda _table, _first_key: None
         self.calls = 0
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
@@ -138,8 +144,7 @@
         query = {k: v[0] for k, v in parse_qs(split.query).items()}
         table = query["Table"]
         if split.path == "/rows-get":
-            rows = self._rows(table, after=-1, include_deleted=False)
-            return 200, {"Rows": rows, "HasMore": False, "Ver": self.version}
+            return 200, self._page(table, query.get("From", ""))
         after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
         while True:
@@ -151,6 +156,15 @@
                 return 200, {"Rows": rows, "Ver": self.version}
             self.changed.wait(min(remaining_s, 0.5))
 
+    def _page(self, table, first_key):
+        self.on_page(table, first_key)
+        rows = self._rows(table, after=-1, include_deleted=False)
+        rows = [row for row in rows if row["Key"] >= first_key]
+        rows.sort(key=lambda row: row["Key"])
+        page = rows[: self.page_rows]
+        has_more = len(page) < len(rows)
+        return {"Rows": page, "HasMore": has_more, "Ver": self.version}
+
     def _rows(self, table, *, after, include_deleted):
         matching = []
         for (row_table, key), (version, data) in self.rows.items():
@@ -390,3 +404,29 @@
         )
         data = head.encode("latin-1") + body
         sock.sendall(data[: max(0, len(data) - truncated_bytes)])
+
+
+def start_targets(
+    store, domains, *, service="orders", prefix="t", on_request=lambda *_: None
+):
+    """Returns a target of a service in each of the given domains.
+
+    Args:
+        store: Store in which they register.
+        domains: Failure domain of each target.
+        service: Their service.
+        prefix: Start of their names.
+        on_request: See ``Target.on_request``.
+    """
+    return [
+        Target(
+            f"{prefix}{number}",
+            store,
+            {},
+            service=service,
+            domain=domain,
+            rng=random.Random(number),
+            on_request=on_request,
+        )
+        for number, domain in enumerate(domains)
+    ]
--- a/tests/platform/gateway_group.py
+++ b/tests/platform/gateway_group.py
@@ -75,6 +75,10 @@
         """Starts all and waits until they are ready."""
         for gateway in self.gateways:
             gateway.start()
+        self.wait_until_ready()
+
+    def wait_until_ready(self):
+        """Waits until all are ready."""
         with gevent.Timeout(START_TIMEOUT_S):
             while not all(x.is_ready() for x in self.gateways):
                 gevent.sleep(0.05)
@@ -87,6 +91,15 @@
             ):
                 gevent.sleep(0.05)
 
+    def failed_tasks(self):
+        """Returns the lines of all logs that tell of a failure of the code."""
+        return [
+            line
+            for gateway in self.gateways
+            for line in gateway.log_path.read_text().splitlines()
+            if "event=task-failed" in line or "event=handler-failed" in line
+        ]
+
     def close(self):
         """Stops the processes and servers."""
         for gateway in self.gateways:
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -140,7 +140,13 @@
         self.cpu_wait_s = 0.0
 
     def start(self):
-        """Starts the process."""
+        """Starts the process.
+
+        Raises:
+            RuntimeError: It runs, and would never be ended.
+        """
+        if self.popen is not None and self.popen.poll() is None:
+            raise RuntimeError(f"{self.name} runs already")
         environment = os.environ | {
             "SARDINEWHEEL_SETTINGS": str(self.settings_path),
             "ANNOUNCED_IP": self.relay_ip,
