Read nested JSON as malformed in the entry host and the tools

Fix: codec.load_json turns all that json.loads raises into a MessageError; six places that each listed their exceptions use it.

--- a/packages/cli/sardinewheel_cli/client.py
+++ b/packages/cli/sardinewheel_cli/client.py
@@ -7,6 +7,8 @@
 import gevent.pool
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
+from sardinewheel_core.codec import load_json
+from sardinewheel_core.errors import MessageError
 
 from sardinewheel_cli.errors import UnreachableError
 
@@ -142,10 +144,10 @@
         return Reply(address, error=f"invalid address: {error}", sent=False)
     try:
         response = client.request(method, path, body, JSON_HEADERS)
-        return Reply(address, response.status_code, json.loads(response.read()))
+        return Reply(address, response.status_code, load_json(response.read()))
     except ConnectionRefusedError as error:
         return Reply(address, error=str(error), sent=False)
-    except (OSError, HTTPParseError, ValueError) as error:
+    except (OSError, HTTPParseError, ValueError, MessageError) as error:
         return Reply(address, error=f"{type(error).__name__}: {error}")
     finally:
         client.close()
--- a/packages/cli/sardinewheel_cli/hosts_file.py
+++ b/packages/cli/sardinewheel_cli/hosts_file.py
@@ -1,10 +1,10 @@
 """Addresses of entry hosts from a JSON file."""
 
-import json
 from pathlib import Path
 
 import jsonschema
-from sardinewheel_core.errors import Finding, SettingsError
+from sardinewheel_core.codec import load_json
+from sardinewheel_core.errors import Finding, MessageError, SettingsError
 
 SCHEMA = {
     "type": "object",
@@ -27,8 +27,8 @@
             contains all findings.
     """
     try:
-        plain = json.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        plain = load_json(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, MessageError) as error:
         finding = Finding(str(path), str(error), "a readable JSON file")
         raise SettingsError((finding,)) from error
     validator = jsonschema.Draft202012Validator(SCHEMA)
--- a/packages/core/sardinewheel_core/claims.py
+++ b/packages/core/sardinewheel_core/claims.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sardinewheel_core import pipeline
-from sardinewheel_core.codec import from_plain, to_plain
+from sardinewheel_core.codec import from_plain, load_json, to_plain
 from sardinewheel_core.effects import Transact, TransactionEnded
 from sardinewheel_core.errors import MessageError
 from sardinewheel_core.exchange import Exchange, Stage
@@ -77,8 +77,8 @@
 def decode_row(text: str) -> ClaimRow | None:
     """Returns the value of a row, or ``None`` if it is malformed."""
     try:
-        return from_plain(json.loads(text), ClaimRow)
-    except (MessageError, ValueError):
+        return from_plain(load_json(text), ClaimRow)
+    except MessageError:
         return None
 
 
--- a/packages/core/sardinewheel_core/codec.py
+++ b/packages/core/sardinewheel_core/codec.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import json
 import math
 import types
 import typing
@@ -21,6 +22,26 @@
 MAX_INTEGER = 2**63
 
 
+def load_json(text: str | bytes) -> Any:
+    """Returns the value of a JSON text that another process wrote.
+
+    Raises:
+        MessageError: It is no JSON text, or nested too deeply.
+
+    Examples:
+        >>> load_json("[" * 100_000)
+        Traceback (most recent call last):
+        ...
+        sardinewheel_core.errors.MessageError: invalid JSON: nested too deeply
+    """
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise MessageError("invalid JSON: nested too deeply") from None
+    except (TypeError, ValueError) as error:
+        raise MessageError(f"invalid JSON: {error}") from None
+
+
 def to_plain(value: Any) -> Any:
     """Returns a value converted to maps, lists, strings and numbers.
 
--- a/packages/core/sardinewheel_core/configuration.py
+++ b/packages/core/sardinewheel_core/configuration.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 from sardinewheel_core.change import Change, Operation, apply_change
-from sardinewheel_core.codec import from_plain, to_plain
-from sardinewheel_core.errors import ChangeRejectedError, MessageError
+from sardinewheel_core.codec import from_plain, load_json, to_plain
+from sardinewheel_core.errors import ChangeRejectedError
 from sardinewheel_core.intent import Intent
 
 HEAD_KEY = "config/head"
@@ -54,7 +54,7 @@
     Raises:
         MessageError: The text does not describe a change.
     """
-    return from_plain(_from_json(text), Change)
+    return from_plain(load_json(text), Change)
 
 
 def encode_change_id(change: Change) -> str:
@@ -69,7 +69,7 @@
     Raises:
         MessageError: The text does not describe a change id row.
     """
-    return from_plain(_from_json(text), ChangeIdRow)
+    return from_plain(load_json(text), ChangeIdRow)
 
 
 def encode_intent(intent: Intent) -> str:
@@ -83,7 +83,7 @@
     Raises:
         MessageError: The text does not describe an intent.
     """
-    return from_plain(_from_json(text), Intent)
+    return from_plain(load_json(text), Intent)
 
 
 def digest_of(operations: tuple[Operation, ...]) -> str:
@@ -92,13 +92,6 @@
     return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
-def _from_json(text: str):
-    try:
-        return json.loads(text)
-    except (TypeError, ValueError, RecursionError) as error:
-        raise MessageError(f"invalid JSON: {error}") from None
-
-
 class Configuration:
     """The intent applied on this host, with the latest changes to it.
 
--- a/packages/core/sardinewheel_core/seats.py
+++ b/packages/core/sardinewheel_core/seats.py
@@ -16,7 +16,7 @@
     QUARANTINE_S,
     SUPERSEDE_DETECTION_S,
 )
-from sardinewheel_core.codec import from_plain, to_plain
+from sardinewheel_core.codec import from_plain, load_json, to_plain
 from sardinewheel_core.effects import (
     ReadRows,
     RowsRead,
@@ -305,6 +305,6 @@
 def _decode(value: str) -> SeatRow | None:
     """Decodes a row; a malformed one counts as held by an unknown host."""
     try:
-        return from_plain(json.loads(value), SeatRow)
-    except (ValueError, MessageError):
+        return from_plain(load_json(value), SeatRow)
+    except MessageError:
         return SeatRow(0, "", False)
--- a/packages/entry/sardinewheel_entry/platform_client.py
+++ b/packages/entry/sardinewheel_entry/platform_client.py
@@ -15,7 +15,7 @@
 import gevent
 import structlog
 from gevent.lock import BoundedSemaphore
-from sardinewheel_core.codec import from_plain
+from sardinewheel_core.codec import from_plain, load_json
 from sardinewheel_core.effects import (
     ObjectRead,
     PutObject,
@@ -286,8 +286,8 @@
         if response is None or response.status != OK:
             return None
         try:
-            return from_plain(json.loads(response.body), body_type)
-        except (ValueError, RecursionError, MessageError) as error:
+            return from_plain(load_json(response.body), body_type)
+        except MessageError as error:
             self._report_malformed(str(error))
             return None
 
--- a/packages/entry/sardinewheel_entry/probes.py
+++ b/packages/entry/sardinewheel_entry/probes.py
@@ -1,10 +1,11 @@
 """Probes of targets for health and load."""
 
-import json
 import time
 from typing import Any
 
+from sardinewheel_core.codec import load_json
 from sardinewheel_core.effects import ProbeCompleted
+from sardinewheel_core.errors import MessageError
 from sardinewheel_core.intent import Target
 
 from sardinewheel_entry import headers, http_exchange
@@ -62,8 +63,8 @@
     if response is None or response.status != OK:
         return None
     try:
-        plain = json.loads(response.body)
-    except (ValueError, RecursionError):
+        plain = load_json(response.body)
+    except MessageError:
         return None
     return plain.get(name) if isinstance(plain, dict) else None
 
--- a/tests/core/test_seats.py
+++ b/tests/core/test_seats.py
@@ -147,3 +147,13 @@
         cluster.run(0.1)
     state = cluster.hosts["a-1"].seat
     assert state.row_version == cluster.platform.rows["seat/a-1"][0]
+
+
+def test_a_row_nested_too_deeply_counts_as_held_by_an_unknown_host(cluster):
+    version, _ = cluster.platform.rows["seat/a-1"]
+    cluster.platform.rows["seat/a-1"] = (version + 1, "[" * 100_000)
+    cluster.crash_and_restart("a-1")
+    cluster.run(2.0)
+    assert seconds_until_usable(cluster, "a-1") > 0
+    cluster.run(QUARANTINE_S + 3.0)
+    assert seconds_until_usable(cluster, "a-1") < 0
