Say why a change was not accepted if a test of the tools fails

By itself it fails on any code, as an earlier test of the module creates the region. The failure in the parallel run is not traced: the output was not kept. It is printed now.

--- a/tests/cli/test_cli_processes.py
+++ b/tests/cli/test_cli_processes.py
@@ -151,7 +151,10 @@
 def test_outcome_is_known_after_a_lost_platform_answer(deployment, operator):
     version = operator.version()
     deployment.set_platform(mode="lose-answers", count=1)
-    done = operator.json("set cap austro 7")["change"]
+    output = operator.json("set cap austro 7")
+    # Says why, if the change was not accepted.
+    assert "change" in output, output
+    done = output["change"]
     assert (done["state"], done["version"]) == ("accepted", version + 1)
     found = operator.run(f"show change {done['change_id']}")
     assert f"accepted as version {version + 1}" in found.stdout
