Take the time before the soak asks whether a host has ended

Its log has process-stopped 2.9 s after stop-ordered. For the next 8 s no caller of the soak ran either (the other hosts logged nothing): the soak's process had stalled, after it had seen the host running and before it read the clock.

The check is as strict: a host that still runs after its grace period is a violation. That the stall fell between these two lines is inferred from the logs, not seen itself.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -102,10 +102,14 @@
         began = time.monotonic()
         popen = gateway.popen
         gateway.terminate(signal.SIGTERM)
-        while popen.poll() is None:
+        while True:
+            # Taken first, as this process may stall before the next line.
+            checked_at = time.monotonic()
+            if popen.poll() is not None:
+                break
             if gateway.is_disturbed:
                 return
-            if time.monotonic() - began > GRACE_S:
+            if checked_at - began > GRACE_S:
                 self.checker.record_violation(
                     f"{gateway.name} did not exit within its grace period"
                 )
